--- a/core/src/main/java/org/plantainshunt/result/ResultCode.java
+++ b/core/src/main/java/org/plantainshunt/result/ResultCode.java
@@ -38,13 +38,13 @@
     DRAINING(1103, RunState.NOT_RUN, 503, true, "The backend server is leaving and takes no new work."),
     /** No backend server of the service can be reached. */
     NO_BACKEND_SERVER(1104, RunState.NOT_RUN, 503, false, "No backend server of the service can be reached."),
-    /** Requests of this kind run at most once and need a ticket; repeat the request with the ticket of this answer. */
+    /** This kind of request runs at most once; repeat it with the ticket of this answer. */
     TICKET_REQUIRED(
             1105,
             RunState.NOT_RUN,
             428,
             false,
-            "Requests of this kind run at most once and need a ticket; repeat the request with the ticket of this answer."),
+            "This kind of request runs at most once; repeat it with the ticket of this answer."),
     /** The retries allowed for the whole request are spent. */
     RETRY_BOUND_REACHED(1106, RunState.NOT_RUN, 503, false, "The retries allowed for the whole request are spent."),
     /** The node cannot keep a further ticket. */
