--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -0,0 +1,303 @@
+package org.plantainshunt.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.plantainshunt.configuration.Service;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+
+/**
+ * Decides which calls the backend server of this node runs, in which order, and which calls are refused.
+ *
+ * <p>Invariants: at most {@link #limit} calls run, except while calls that started under a higher limit end. No call is
+ * refused for room while a less important one waits. A slot is given only to a call whose deadline has not passed. A
+ * call is refused for its priority only while the slots are full and the queue holds the target delay's worth of work.
+ *
+ * <p>All times are nanoseconds of one monotonic clock. Confined to one thread; the consumer of refusals must not call
+ * back into the queue.
+ *
+ * <pre>
+ * if (queue.offer(entry, now) == Admission.START) {
+ *     handOver(entry);
+ * }
+ * ...
+ * queue.finished(entry, CallEnd.ANSWERED, now);
+ * queue.startable(now).forEach(this::handOver);
+ * queue.overlong(now).forEach(this::cancel);
+ * </pre>
+ */
+public final class AdmissionQueue {
+    private final Consumer<Refused> onRefused;
+    private final WaitingCalls waiting = new WaitingCalls();
+    private final ServiceTimes times = new ServiceTimes();
+    private final LongWork longWork = new LongWork(times);
+    private final AdmissionLevel level = new AdmissionLevel();
+    private final ConcurrencyLimit limit;
+    private final RetryAfter retryAfter = new RetryAfter(level);
+    private Service service;
+    private long targetDelay;
+    private long nextSequence;
+    private int running;
+    private boolean draining;
+
+    /**
+     * A call that is refused, and why.
+     *
+     * @param entry the call
+     * @param refusal the reason; its run state is always "not run"
+     */
+    public record Refused(CallEntry entry, Refusal refusal) {}
+
+    /**
+     * Creates an empty queue that admits calls.
+     *
+     * @param service the limits
+     * @param onRefused gets each refused call once, both those refused by {@link #offer} and those that waited
+     */
+    public AdmissionQueue(Service service, Consumer<Refused> onRefused) {
+        this.onRefused = onRefused;
+        this.limit = new ConcurrencyLimit(service.slots());
+        use(service);
+    }
+
+    /**
+     * Decides on a call that has arrived.
+     *
+     * @return REFUSE after the reason was given to the consumer
+     * @throws IllegalArgumentException if the entry was offered before
+     */
+    public Admission offer(CallEntry entry, long now) {
+        if (entry.state != CallEntry.State.NEW) {
+            throw new IllegalArgumentException("offered twice: " + entry);
+        }
+        advance(now);
+        entry.sequence = nextSequence++;
+        if (draining) {
+            return refuse(entry, drainingRefusal(entry));
+        }
+        level.offered(entry.priority());
+        if (expired(entry, now)) {
+            return refuse(entry, Refusal.of(ResultCode.DEADLINE_TOO_SHORT, "the deadline had passed on arrival"));
+        }
+        if (running + waiting.size() < limit.current()) {
+            start(entry, now);
+            return Admission.START;
+        }
+        if (outOfReach(entry, now)) {
+            return refuse(entry, outOfReachRefusal(entry));
+        }
+        return enqueue(entry, now);
+    }
+
+    private Admission enqueue(CallEntry entry, long now) {
+        entry.waitingSince = now;
+        entry.latestStart = latestStart(entry, now);
+        boolean full = waiting.size() >= service.queue();
+        boolean shed = entry.priority().value() >= level.level() && waiting.size() >= enoughWaiting();
+        waiting.add(entry);
+        if (full || shed) {
+            if (full) {
+                level.lost();
+            }
+            evict(full ? "the queue is full" : "the admission level is " + level.level());
+        }
+        return entry.state == CallEntry.State.ENDED ? Admission.REFUSE : Admission.WAIT;
+    }
+
+    /**
+     * Frees the slot of a call; follow it with {@link #startable}.
+     *
+     * <p>A second end of the same call has no effect, so that a cancellation and a late answer do not free two slots.
+     */
+    public void finished(CallEntry entry, CallEnd end, long now) {
+        if (entry.state != CallEntry.State.RUNNING) {
+            return;
+        }
+        advance(now);
+        learnServiceTime(entry, end, now);
+        limit.ended(end, entry.startedAt(), running, now);
+        if (end != CallEnd.SHED_BY_BACKEND_SERVER) {
+            level.ended();
+        }
+        longWork.ended(entry);
+        running--;
+        entry.state = CallEntry.State.ENDED;
+    }
+
+    /** Returns the calls to hand over now, which hold slots from now on; refuses those that are too late. */
+    public List<CallEntry> startable(long now) {
+        advance(now);
+        if (waiting.isEmpty() || running >= limit.current()) {
+            return List.of();
+        }
+        List<CallEntry> started = new ArrayList<>();
+        while (running < limit.current() && !waiting.isEmpty()) {
+            CallEntry entry = waiting.next(now);
+            waiting.remove(entry);
+            if (expired(entry, now) || outOfReach(entry, now)) {
+                level.lost();
+                refuse(entry, outOfReachRefusal(entry));
+            } else {
+                start(entry, now);
+                started.add(entry);
+            }
+        }
+        return started;
+    }
+
+    /** Removes a call that still waits, without giving it to the consumer, and returns whether it did. */
+    public boolean cancel(CallEntry entry, long now) {
+        advance(now);
+        if (entry.state != CallEntry.State.WAITING) {
+            return false;
+        }
+        waiting.remove(entry);
+        entry.state = CallEntry.State.ENDED;
+        return true;
+    }
+
+    /**
+     * Returns the running calls to cancel now, because long calls hold more than their share of the slots while others
+     * wait.
+     *
+     * <p>Each call is returned once; it holds its slot until {@link #finished}. Calls that run at most once are never
+     * returned.
+     */
+    public List<CallEntry> overlong(long now) {
+        advance(now);
+        longWork.update(service.longWorkAfter(), now);
+        if (waiting.isEmpty()) {
+            return List.of();
+        }
+        return longWork.toCancel((int) (service.longWorkShare() * limit.current()));
+    }
+
+    /** Returns the admission level, 0 to 512: the number of priority values that entry nodes may send. */
+    public int level() {
+        return level.level();
+    }
+
+    /** Returns the number of calls that hold slots. */
+    public int running() {
+        return running;
+    }
+
+    /** Returns the number of calls that wait. */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /** Returns the number of calls that may run at a time. */
+    public int limit() {
+        return limit.current();
+    }
+
+    /** Refuses the waiting calls and all further ones with {@link ResultCode#DRAINING}; running calls go on. */
+    public void drain() {
+        draining = true;
+        while (!waiting.isEmpty()) {
+            CallEntry entry = waiting.leastImportant();
+            waiting.remove(entry);
+            refuse(entry, drainingRefusal(entry));
+        }
+    }
+
+    /** Ends {@link #drain}. */
+    public void serve() {
+        draining = false;
+    }
+
+    /** Puts new limits in force; running calls go on, and waiting calls over the new queue length are refused. */
+    public void configure(Service newService) {
+        use(newService);
+        limit.configure(newService.slots());
+        while (waiting.size() > service.queue()) {
+            evict("the queue was made shorter");
+        }
+    }
+
+    private void use(Service newService) {
+        service = newService;
+        targetDelay = newService.targetQueueDelay().toNanos();
+    }
+
+    private void advance(long now) {
+        level.slotsUsed(running, limit.current(), now);
+        refuseLate(now);
+        waiting.observe(now, targetDelay);
+        level.update(waiting.standing(now), now);
+    }
+
+    /** Refuses the waiting calls that can no longer meet their deadlines, so that they take no room. */
+    private void refuseLate(long now) {
+        while (!waiting.isEmpty() && now - waiting.mostUrgent().latestStart >= 0) {
+            CallEntry entry = waiting.mostUrgent();
+            waiting.remove(entry);
+            if (expired(entry, now) || outOfReach(entry, now)) {
+                level.lost();
+                refuse(entry, outOfReachRefusal(entry));
+            } else {
+                entry.latestStart = latestStart(entry, now);
+                waiting.add(entry);
+            }
+        }
+    }
+
+    private long latestStart(CallEntry entry, long now) {
+        return entry.deadline() - times.low(entry.kind(), now);
+    }
+
+    private static boolean expired(CallEntry entry, long now) {
+        return now - entry.deadline() >= 0;
+    }
+
+    private boolean outOfReach(CallEntry entry, long now) {
+        return now - latestStart(entry, now) >= 0;
+    }
+
+    /** Returns the number of waiting calls that take the target delay to start, at least one per four slots. */
+    private int enoughWaiting() {
+        double worth = level.capacityPerSecond() * targetDelay / 1e9;
+        return (int) Math.max(worth, 1 + limit.current() / 4);
+    }
+
+    private void start(CallEntry entry, long now) {
+        entry.start(now);
+        running++;
+        longWork.started(entry, service.longWorkAfter(), now);
+    }
+
+    /** Learns from answers; a call that was given up took at least as long as it ran. */
+    private void learnServiceTime(CallEntry entry, CallEnd end, long now) {
+        long duration = now - entry.startedAt();
+        boolean atLeast = end == CallEnd.CANCELLED && duration > times.median(entry.kind());
+        if (!entry.isLong && (end == CallEnd.ANSWERED || atLeast)) {
+            times.add(entry.kind(), duration, now);
+        }
+    }
+
+    private void evict(String reason) {
+        CallEntry entry = waiting.leastImportant();
+        waiting.remove(entry);
+        String detail = reason + "; " + waiting.size() + " calls wait for " + limit.current() + " slots";
+        refuse(entry, new Refusal(ResultCode.OVERLOADED, detail, retryAfter.whenOverloaded(entry, waiting.size())));
+    }
+
+    private Refusal drainingRefusal(CallEntry entry) {
+        return new Refusal(ResultCode.DRAINING, "the backend server is leaving", retryAfter.atOnce(entry));
+    }
+
+    private static Refusal outOfReachRefusal(CallEntry entry) {
+        return Refusal.of(
+                ResultCode.DEADLINE_TOO_SHORT,
+                "the time left is less than nine in ten calls of " + entry.kind() + " take");
+    }
+
+    private Admission refuse(CallEntry entry, Refusal refusal) {
+        entry.state = CallEntry.State.ENDED;
+        onRefused.accept(new Refused(entry, refusal));
+        return Admission.REFUSE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/admission/CallEntry.java
@@ -0,0 +1,103 @@
+package org.plantainshunt.admission;
+
+/**
+ * A call on its way through one {@link AdmissionQueue}.
+ *
+ * <p>All times are nanoseconds of the monotonic clock of this node. An entry is offered to one queue, once. Confined to
+ * the thread of that queue.
+ */
+public final class CallEntry {
+    /** Where the call is; it moves forward only. */
+    enum State {
+        NEW,
+        WAITING,
+        RUNNING,
+        ENDED
+    }
+
+    private final String id;
+    private final Priority priority;
+    private final String kind;
+    private final boolean atMostOnce;
+    private final long deadline;
+    private final long arrived;
+    private long startedAt;
+
+    State state = State.NEW;
+    /** Position in the order of offers; unique in the queue. */
+    long sequence;
+    /** When the call began to wait. */
+    long waitingSince;
+    /** The time from which the call cannot meet its deadline, by the estimate made when it began to wait. */
+    long latestStart;
+    /** When to look whether the running call has become long. */
+    long longCheckAt;
+    /** Whether the running call counts as long. */
+    boolean isLong;
+    /** Whether {@link AdmissionQueue#overlong} has returned the call. */
+    boolean reported;
+
+    /**
+     * Creates an entry for a call.
+     *
+     * @param id the request id
+     * @param priority the priority of the request
+     * @param kind the kind of request, for which service times are learned
+     * @param atMostOnce whether the call must not be cancelled after the hand-over
+     * @param deadline when the whole answer must be there, absolute, in nanoseconds
+     * @param arrived when the call arrived at this node, in nanoseconds
+     */
+    public CallEntry(String id, Priority priority, String kind, boolean atMostOnce, long deadline, long arrived) {
+        this.id = id;
+        this.priority = priority;
+        this.kind = kind;
+        this.atMostOnce = atMostOnce;
+        this.deadline = deadline;
+        this.arrived = arrived;
+    }
+
+    /** Returns the request id. */
+    public String id() {
+        return id;
+    }
+
+    /** Returns the priority. */
+    public Priority priority() {
+        return priority;
+    }
+
+    /** Returns the kind of request. */
+    public String kind() {
+        return kind;
+    }
+
+    /** Returns whether the call runs at most once. */
+    public boolean atMostOnce() {
+        return atMostOnce;
+    }
+
+    /** Returns the absolute deadline, in nanoseconds. */
+    public long deadline() {
+        return deadline;
+    }
+
+    /** Returns when the call arrived at this node, in nanoseconds. */
+    public long arrived() {
+        return arrived;
+    }
+
+    /** Returns when the call got its slot, in nanoseconds; 0 before that. */
+    public long startedAt() {
+        return startedAt;
+    }
+
+    void start(long now) {
+        state = State.RUNNING;
+        startedAt = now;
+    }
+
+    @Override
+    public String toString() {
+        return id + " " + priority + " " + kind + " " + state;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/admission/ConcurrencyLimit.java
@@ -0,0 +1,77 @@
+package org.plantainshunt.admission;
+
+/**
+ * How many calls the backend server runs at a time.
+ *
+ * <p>The limit is the configured number of slots until the backend server sheds load itself. It then shrinks by a fifth
+ * for each round of sheds, and grows back by one for each round of successes; after a second without a shed the step
+ * doubles each round, so that a limit that shrank far is back soon. Latency does not shrink it: a slow-down by a
+ * neighbour cannot be told apart from overload by latency. Confined to one thread.
+ */
+final class ConcurrencyLimit {
+    /** Small enough to find the real capacity within a few rounds, without halving it for a single shed. */
+    private static final double SHRINK = 0.8;
+
+    /** Without sheds for this long, the reason for the small limit is likely to be gone. */
+    private static final long FAST_GROWTH_AFTER = 1_000_000_000L;
+
+    private int slots;
+    private int limit;
+    private int successes;
+    private int step = 1;
+    private long shedAt;
+
+    ConcurrencyLimit(int slots) {
+        this.slots = slots;
+        this.limit = slots;
+    }
+
+    int current() {
+        return limit;
+    }
+
+    /** Sets a new number of slots; a limit that had shrunk stays shrunk. */
+    void configure(int newSlots) {
+        limit = limit == slots ? newSlots : Math.min(limit, newSlots);
+        slots = newSlots;
+    }
+
+    /**
+     * Learns from the end of a call.
+     *
+     * @param running the number of running calls, with this one
+     */
+    void ended(CallEnd end, long startedAt, int running, long now) {
+        if (end == CallEnd.SHED_BY_BACKEND_SERVER) {
+            shrink(startedAt, running, now);
+        } else if (end == CallEnd.ANSWERED) {
+            grow(now);
+        }
+    }
+
+    /** Shrinks once a round: sheds of calls that started before the last shrink tell nothing about the new limit. */
+    private void shrink(long startedAt, int running, long now) {
+        if (limit < slots && startedAt - shedAt < 0) {
+            return;
+        }
+        limit = Math.max(1, (int) (Math.min(limit, running) * SHRINK));
+        shedAt = now;
+        successes = 0;
+        step = 1;
+    }
+
+    private void grow(long now) {
+        if (limit == slots) {
+            return;
+        }
+        successes++;
+        if (successes < limit) {
+            return;
+        }
+        successes = 0;
+        limit = Math.min(slots, limit + step);
+        if (now - shedAt > FAST_GROWTH_AFTER) {
+            step = Math.min(slots, step * 2);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/admission/ServiceTimes.java
@@ -0,0 +1,68 @@
+package org.plantainshunt.admission;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The service times of each kind of request, as quantiles over its last 64 calls.
+ *
+ * <p>A window of the last calls follows a slow-down and its end within 33 calls, which a histogram over all time or a
+ * decaying one does not. Quantiles are taken anew after every eighth sample. Confined to one thread.
+ */
+final class ServiceTimes {
+    /** What is answered while a kind is not known well enough. */
+    static final long UNKNOWN = 0;
+
+    private static final int WINDOW = 64;
+    private static final int REFRESH = 8;
+    /** Nine calls in ten take longer, so a call with less time left is clearly late. */
+    private static final int LOW_PERCENT = 10;
+    /** A kind whose calls are all refused yields no samples, so an estimate must not outlive its samples for long. */
+    private static final long LOW_VALID_FOR = 1_000_000_000L;
+
+    private final Map<String, Samples> byKind = new HashMap<>();
+
+    /** The last samples of one kind. */
+    private static final class Samples {
+        private final long[] ring = new long[WINDOW];
+        private long count;
+        private long median = UNKNOWN;
+        private long low = UNKNOWN;
+        private long latest;
+
+        private void add(long sample, long now) {
+            ring[(int) (count % WINDOW)] = sample;
+            count++;
+            latest = now;
+            if (count % REFRESH == 0) {
+                refresh();
+            }
+        }
+
+        private void refresh() {
+            int size = (int) Math.min(count, WINDOW);
+            long[] sorted = Arrays.copyOf(ring, size);
+            Arrays.sort(sorted);
+            median = sorted[size / 2];
+            low = sorted[size * LOW_PERCENT / 100];
+        }
+    }
+
+    /** Adds the duration of a call. */
+    void add(String kind, long duration, long now) {
+        byKind.computeIfAbsent(kind, unused -> new Samples()).add(duration, now);
+    }
+
+    /** Returns the median, in nanoseconds, or {@link #UNKNOWN} before eight samples. */
+    long median(String kind) {
+        Samples samples = byKind.get(kind);
+        return samples == null ? UNKNOWN : samples.median;
+    }
+
+    /** Returns a duration that nine calls in ten exceed, in nanoseconds, or {@link #UNKNOWN}. */
+    long low(String kind, long now) {
+        Samples samples = byKind.get(kind);
+        return samples == null || now - samples.latest > LOW_VALID_FOR ? UNKNOWN : samples.low;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/admission/WaitingCalls.java
@@ -0,0 +1,125 @@
+package org.plantainshunt.admission;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+import org.plantainshunt.configuration.PriorityClass;
+
+/**
+ * The calls that wait for a slot, by order of start, by importance and by latest start.
+ *
+ * <p>Each operation takes time logarithmic in the number of waiting calls. A class has a standing delay once its oldest
+ * call has waited longer than the target without a break for 100 ms; its calls are then started newest first, because
+ * the oldest are the likeliest to be given up by their callers. Confined to one thread.
+ */
+final class WaitingCalls {
+    /** A delay that lasts longer than a burst counts as standing. */
+    static final long STANDING_AFTER = 100_000_000L;
+
+    private static final int CLASSES = PriorityClass.values().length;
+    private static final Comparator<CallEntry> BY_ORDER = Comparator.comparingLong(entry -> entry.sequence);
+    private static final Comparator<CallEntry> BY_IMPORTANCE = Comparator.<CallEntry>comparingInt(
+                    entry -> entry.priority().value())
+            .thenComparing(BY_ORDER);
+    private static final Comparator<CallEntry> BY_LATEST_START = new LatestStartOrder().thenComparing(BY_ORDER);
+
+    private final ClassQueue[] classes = new ClassQueue[CLASSES];
+    private final TreeSet<CallEntry> byImportance = new TreeSet<>(BY_IMPORTANCE);
+    private final TreeSet<CallEntry> byLatestStart = new TreeSet<>(BY_LATEST_START);
+
+    /** Compares by difference, because the origin of the clock is arbitrary and its values may wrap around. */
+    private static final class LatestStartOrder implements Comparator<CallEntry> {
+        @Override
+        public int compare(CallEntry first, CallEntry second) {
+            return Long.signum(first.latestStart - second.latestStart);
+        }
+    }
+
+    /** The waiting calls of one class, and since when the oldest has been over the target. */
+    private static final class ClassQueue {
+        private final TreeSet<CallEntry> calls = new TreeSet<>(BY_ORDER);
+        private boolean over;
+        private long overSince;
+
+        private void observe(long now, long target) {
+            boolean overNow = !calls.isEmpty() && now - calls.first().waitingSince > target;
+            if (overNow && !over) {
+                overSince = calls.first().waitingSince + target;
+            }
+            over = overNow;
+        }
+
+        private boolean standing(long now) {
+            return over && now - overSince >= STANDING_AFTER;
+        }
+    }
+
+    WaitingCalls() {
+        for (int i = 0; i < CLASSES; i++) {
+            classes[i] = new ClassQueue();
+        }
+    }
+
+    /** Adds a call; the fields sequence, waitingSince and latestStart must not change while it waits. */
+    void add(CallEntry entry) {
+        entry.state = CallEntry.State.WAITING;
+        classOf(entry).calls.add(entry);
+        byImportance.add(entry);
+        byLatestStart.add(entry);
+    }
+
+    void remove(CallEntry entry) {
+        classOf(entry).calls.remove(entry);
+        byImportance.remove(entry);
+        byLatestStart.remove(entry);
+    }
+
+    int size() {
+        return byImportance.size();
+    }
+
+    boolean isEmpty() {
+        return byImportance.isEmpty();
+    }
+
+    /** Returns the call to start next; the queue must not be empty. */
+    CallEntry next(long now) {
+        for (ClassQueue queue : classes) {
+            if (!queue.calls.isEmpty()) {
+                return queue.standing(now) ? queue.calls.last() : queue.calls.first();
+            }
+        }
+        throw new IllegalStateException("no call waits");
+    }
+
+    /** Returns the newest call of the least important priority; the queue must not be empty. */
+    CallEntry leastImportant() {
+        return byImportance.last();
+    }
+
+    /** Returns the call that must start first to meet its deadline; the queue must not be empty. */
+    CallEntry mostUrgent() {
+        return byLatestStart.first();
+    }
+
+    /** Notes which classes are over the target delay; called before each decision. */
+    void observe(long now, long target) {
+        for (ClassQueue queue : classes) {
+            queue.observe(now, target);
+        }
+    }
+
+    /** Returns whether any class has a standing delay. */
+    boolean standing(long now) {
+        for (ClassQueue queue : classes) {
+            if (queue.standing(now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private ClassQueue classOf(CallEntry entry) {
+        return classes[entry.priority().priorityClass().ordinal()];
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/execution/TicketEntry.java
@@ -0,0 +1,41 @@
+package org.plantainshunt.execution;
+
+import org.plantainshunt.result.Refusal;
+
+/** The state of one ticket. Confined to the thread of its table. */
+final class TicketEntry {
+    /** The states; a state follows only an earlier one, except that UNKNOWN may become ANSWERED. */
+    enum State {
+        ISSUED,
+        RUNNING,
+        UNKNOWN,
+        ANSWERED,
+        VOID
+    }
+
+    final String nonce;
+    final String service;
+    final String kind;
+    final long issuedAt;
+    State state = State.ISSUED;
+    long endedAt;
+    /** The whole answer; null unless the state is ANSWERED, and null after the answer was dropped for room. */
+    Outcome outcome;
+    /** Why the outcome is unknown; null unless the state is UNKNOWN. */
+    Refusal refusal;
+
+    TicketEntry(String nonce, String service, String kind, long issuedAt) {
+        this.nonce = nonce;
+        this.service = service;
+        this.kind = kind;
+        this.issuedAt = issuedAt;
+    }
+
+    boolean isFor(String otherService, String otherKind) {
+        return service.equals(otherService) && kind.equals(otherKind);
+    }
+
+    boolean ended() {
+        return state.compareTo(State.RUNNING) > 0;
+    }
+}
