Parse and validate the configuration document

Cause: nodes and the command-line tool need one reading of the INI document whose result depends on the bytes alone.

commons-configuration2 reads the values. It keeps no line numbers and merges repeated sections and keys, so a line scan runs before it, reports these and removes each line that both would read differently. Ruled out: the getters of the library, because they replace variables such as ${env:HOME}; recursion in the check of the call graph, because a document of 1 MB can hold a chain deeper than a thread's stack; an unbounded list of errors, because 1 MB of faulty lines would take tens of megabytes in a node.

--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/configuration/ErrorList.java
@@ -0,0 +1,70 @@
+package org.plantainshunt.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * The errors found so far in one document.
+ *
+ * <p>Confined to the thread that parses the document.
+ */
+final class ErrorList {
+    /** Bounds the memory that a document of faulty lines takes in a node: 1 MB holds half a million lines. */
+    static final int LARGEST_COUNT = 200;
+
+    private static final int LONGEST_QUOTE = 60;
+
+    private static final int LONGEST_LIST = 20;
+
+    private final List<DocumentError> errors = new ArrayList<>();
+    private boolean full;
+
+    void add(DocumentError error) {
+        if (errors.size() < LARGEST_COUNT - 1) {
+            errors.add(error);
+        } else {
+            full = true;
+        }
+    }
+
+    void add(DocumentErrorCode code, String message) {
+        add(new DocumentError(0, "", "", code, message));
+    }
+
+    boolean isEmpty() {
+        return errors.isEmpty();
+    }
+
+    /** Returns the errors in the order of their lines, those of the whole document first. */
+    List<DocumentError> inOrder() {
+        List<DocumentError> sorted = new ArrayList<>(errors);
+        sorted.sort(Comparator.comparingInt(DocumentError::line).thenComparing(DocumentError::code));
+        if (full) {
+            sorted.add(new DocumentError(
+                    0,
+                    "",
+                    "",
+                    DocumentErrorCode.TOO_MANY_ERRORS,
+                    "there are further errors; correct those above and check the document again"));
+        }
+        return sorted;
+    }
+
+    /** Returns the names for use in a message, as many as are useful to a reader. */
+    static String shorten(Collection<String> names) {
+        String listed = names.stream().limit(LONGEST_LIST).collect(Collectors.joining(", "));
+        return names.size() > LONGEST_LIST ? listed + ", ..." : listed;
+    }
+
+    /** Returns a text of the document in quotes, shortened and without control characters, for use in a message. */
+    static String quote(String text) {
+        String printable = text.replaceAll("\\p{C}", "?");
+        if (printable.length() > LONGEST_QUOTE) {
+            printable = printable.substring(0, LONGEST_QUOTE) + "...";
+        }
+        return '"' + printable + '"';
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
@@ -0,0 +1,86 @@
+package org.plantainshunt.configuration;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
+
+/**
+ * Turns the bytes of a document into sections.
+ *
+ * <p>The values are taken from the reader's nodes and not through its getters, because the getters replace variables
+ * such as {@code ${env:HOME}}, and the meaning of a document must depend on its bytes alone. Stateless.
+ */
+final class SectionReader {
+    /** The configuration service holds values up to this size, in bytes. */
+    static final int LARGEST_DOCUMENT = 1_000_000;
+
+    private SectionReader() {}
+
+    /** Returns the sections that are free of errors of form, in the order of the document. */
+    static List<Section> read(byte[] bytes, ErrorList errors) {
+        if (bytes.length > LARGEST_DOCUMENT) {
+            errors.add(
+                    DocumentErrorCode.DOCUMENT_TOO_LARGE,
+                    "the document has " + bytes.length + " bytes; shorten it to at most " + LARGEST_DOCUMENT);
+            return List.of();
+        }
+        try {
+            String text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
+            return sections(text, errors);
+        } catch (CharacterCodingException e) {
+            errors.add(DocumentErrorCode.NOT_UTF8, "the document is not UTF-8 text; save it in the encoding UTF-8");
+            return List.of();
+        }
+    }
+
+    private static List<Section> sections(String text, ErrorList errors) {
+        LineScan scan = new LineScan(text, errors);
+        if (scan.sections().isEmpty() && errors.isEmpty()) {
+            errors.add(DocumentErrorCode.EMPTY_DOCUMENT, "the document holds no section; write at least [document]");
+            return List.of();
+        }
+        Map<String, ImmutableNode> nodes = nodes(scan.acceptedText());
+        List<Section> sections = new ArrayList<>();
+        scan.sections().forEach((heading, found) -> sections.add(section(found, nodes.get(heading))));
+        return sections;
+    }
+
+    private static Map<String, ImmutableNode> nodes(String text) {
+        INIConfiguration ini = new INIConfiguration();
+        try {
+            ini.read(new StringReader(text));
+        } catch (ConfigurationException | IOException e) {
+            throw new IllegalStateException("the INI reader failed on text in memory", e);
+        }
+        Map<String, ImmutableNode> nodes = new HashMap<>();
+        for (ImmutableNode node :
+                ini.getNodeModel().getNodeHandler().getRootNode().getChildren()) {
+            nodes.put(node.getNodeName(), node);
+        }
+        return nodes;
+    }
+
+    private static Section section(LineScan.FoundSection found, ImmutableNode node) {
+        Map<String, Section.Entry> entries = new LinkedHashMap<>();
+        for (ImmutableNode child : node.getChildren()) {
+            String key = child.getNodeName();
+            String value = child.getValue() == null ? "" : child.getValue().toString();
+            entries.put(key, new Section.Entry(found.keyLines().get(key), value));
+        }
+        return new Section(found.line(), found.type(), found.names(), entries);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/configuration/Unit.java
@@ -0,0 +1,75 @@
+package org.plantainshunt.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The units of the values in a document.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+enum Unit {
+    MILLISECONDS("ms", Dimension.DURATION, 1_000_000L),
+    SECONDS("s", Dimension.DURATION, 1_000_000_000L),
+    MINUTES("min", Dimension.DURATION, 60_000_000_000L),
+    BYTES("B", Dimension.SIZE, 1),
+    KIBIBYTES("KiB", Dimension.SIZE, 1L << 10),
+    MEBIBYTES("MiB", Dimension.SIZE, 1L << 20),
+    KILOBITS_PER_SECOND("kbit/s", Dimension.RATE, 1_000),
+    MEGABITS_PER_SECOND("Mbit/s", Dimension.RATE, 1_000_000),
+    PERCENT("%", Dimension.SHARE, 1_000_000);
+
+    private final String symbol;
+    private final Dimension dimension;
+    private final long factor;
+
+    Unit(String symbol, Dimension dimension, long factor) {
+        this.symbol = symbol;
+        this.dimension = dimension;
+        this.factor = factor;
+    }
+
+    /** What a value measures; each dimension is held as a whole number of its smallest step. */
+    enum Dimension {
+        /** In nanoseconds. */
+        DURATION("20 ms"),
+        /** In bytes. */
+        SIZE("1 MiB"),
+        /** In bits per second. */
+        RATE("30 Mbit/s"),
+        /** In millionths of a percent. */
+        SHARE("10 %");
+
+        private final String example;
+
+        Dimension(String example) {
+            this.example = example;
+        }
+
+        /** Returns what to write, for a message. */
+        String advice() {
+            List<String> symbols = new ArrayList<>();
+            for (Unit unit : Unit.values()) {
+                if (unit.dimension == this) {
+                    symbols.add(unit.symbol);
+                }
+            }
+            return "write a number with the unit " + String.join(" or ", symbols) + ", for example " + example;
+        }
+
+        Optional<Unit> unit(String symbol) {
+            for (Unit unit : Unit.values()) {
+                if (unit.dimension == this && unit.symbol.equals(symbol)) {
+                    return Optional.of(unit);
+                }
+            }
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the number of steps of the dimension that make one unit. */
+    long factor() {
+        return factor;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/configuration/ValueReader.java
@@ -0,0 +1,185 @@
+package org.plantainshunt.configuration;
+
+import java.math.BigDecimal;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Reads typed values from one section and notes what is wrong with them.
+ *
+ * <p>A faulty value reads as the smallest of its range, so that the remaining checks can go on; no document is built
+ * from it, because the error is noted. Confined to one thread.
+ */
+final class ValueReader {
+    /** A share is held in millionths of a percent while it is read. */
+    private static final double SHARE_STEPS = 100_000_000.0;
+
+    private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,18}(?:\\.[0-9]{1,9})?)\\s*([A-Za-z/%]*)");
+
+    private final Section section;
+    private final ErrorList errors;
+
+    ValueReader(Section section, ErrorList errors) {
+        this.section = section;
+        this.errors = errors;
+    }
+
+    /** Notes each key without default that the section lacks. */
+    void checkRequiredKeys() {
+        for (String key : section.type().required()) {
+            if (section.entry(key).isEmpty()) {
+                report(key, DocumentErrorCode.MISSING_KEY, "the key is missing; add it to the section");
+            }
+        }
+    }
+
+    /** Returns the text of a key, or an empty text if it is absent. */
+    String text(String key) {
+        return section.entry(key).map(Section.Entry::value).orElse("");
+    }
+
+    int count(String key, Range range, int defaultValue) {
+        return section.entry(key).isEmpty() ? defaultValue : (int) wholeNumber(key, range);
+    }
+
+    long wholeNumber(String key, Range range) {
+        long smallest = Long.parseLong(range.smallest());
+        Optional<Section.Entry> entry = section.entry(key);
+        if (entry.isEmpty()) {
+            return smallest;
+        }
+        String value = entry.get().value();
+        if (!WHOLE_NUMBER.matcher(value).matches()) {
+            reportValue(
+                    key,
+                    DocumentErrorCode.INVALID_NUMBER,
+                    "is not a whole number without unit; write one from " + range.smallest() + " to "
+                            + range.largest());
+            return smallest;
+        }
+        return inRange(key, Long.parseLong(value), smallest, Long.parseLong(range.largest()), range);
+    }
+
+    Duration duration(String key, Range range, Duration defaultValue) {
+        return section.entry(key).isEmpty()
+                ? defaultValue
+                : Duration.ofNanos(quantity(key, Unit.Dimension.DURATION, range));
+    }
+
+    /**
+     * Reads a deadline; one that is too long has an error code of its own, because a planned stop waits for all calls
+     * and so takes as long as the longest deadline.
+     */
+    Duration deadline(String key) {
+        Optional<Section.Entry> entry = section.entry(key);
+        Optional<Long> nanoseconds = entry.flatMap(found -> steps(found.value(), Unit.Dimension.DURATION));
+        long longest = steps(Ranges.DEADLINE.largest(), Unit.Dimension.DURATION).orElseThrow();
+        if (nanoseconds.isPresent() && nanoseconds.get() > longest) {
+            reportValue(
+                    key,
+                    DocumentErrorCode.DEADLINE_TOO_LONG,
+                    "is too long, because a planned stop waits for each call; " + Ranges.DEADLINE.advice());
+            return Duration.ZERO;
+        }
+        return duration(key, Ranges.DEADLINE, Duration.ZERO);
+    }
+
+    long size(String key, Range range, long defaultValue) {
+        return section.entry(key).isEmpty() ? defaultValue : quantity(key, Unit.Dimension.SIZE, range);
+    }
+
+    long rate(String key, Range range) {
+        return section.entry(key).isEmpty() ? 0 : quantity(key, Unit.Dimension.RATE, range);
+    }
+
+    double share(String key, Range range, double defaultValue) {
+        return section.entry(key).isEmpty() ? defaultValue : quantity(key, Unit.Dimension.SHARE, range) / SHARE_STEPS;
+    }
+
+    /** Reads one word out of a list; returns its index, or 0 if there is no such word. */
+    int choice(String key, List<String> words) {
+        Optional<Section.Entry> entry = section.entry(key);
+        if (entry.isEmpty()) {
+            return 0;
+        }
+        int index = words.indexOf(entry.get().value());
+        if (index < 0) {
+            reportValue(
+                    key, DocumentErrorCode.INVALID_CHOICE, "is not allowed; write one of " + String.join(", ", words));
+            return 0;
+        }
+        return index;
+    }
+
+    PriorityClass priorityClass(String key) {
+        List<String> words = List.of(PriorityClass.values()).stream()
+                .map(value -> value.name().toLowerCase(Locale.ROOT))
+                .toList();
+        return PriorityClass.values()[choice(key, words)];
+    }
+
+    String name(String key) {
+        Optional<Section.Entry> entry = section.entry(key);
+        if (entry.isPresent() && !Names.isName(entry.get().value())) {
+            reportValue(key, DocumentErrorCode.INVALID_NAME, "is not a name; " + Names.FORM);
+        }
+        return text(key);
+    }
+
+    void report(String key, DocumentErrorCode code, String message) {
+        errors.add(section.error(key, code, message));
+    }
+
+    private void reportValue(String key, DocumentErrorCode code, String message) {
+        report(key, code, ErrorList.quote(text(key)) + " " + message);
+    }
+
+    private long quantity(String key, Unit.Dimension dimension, Range range) {
+        long smallest = steps(range.smallest(), dimension).orElseThrow();
+        Matcher matcher = QUANTITY.matcher(text(key));
+        if (!matcher.matches()) {
+            reportValue(key, DocumentErrorCode.INVALID_NUMBER, "is not a number with a unit; " + dimension.advice());
+            return smallest;
+        }
+        Optional<Unit> unit = dimension.unit(matcher.group(2));
+        if (unit.isEmpty()) {
+            String fault = matcher.group(2).isEmpty() ? "has no unit; " : "has another unit; ";
+            reportValue(key, DocumentErrorCode.INVALID_UNIT, fault + dimension.advice());
+            return smallest;
+        }
+        Optional<Long> steps = steps(text(key), dimension);
+        if (steps.isEmpty()) {
+            reportValue(key, DocumentErrorCode.OUT_OF_RANGE, "is too large or too fine; " + range.advice());
+            return smallest;
+        }
+        return inRange(
+                key, steps.get(), smallest, steps(range.largest(), dimension).orElseThrow(), range);
+    }
+
+    private static Optional<Long> steps(String value, Unit.Dimension dimension) {
+        Matcher matcher = QUANTITY.matcher(value);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        BigDecimal number = new BigDecimal(matcher.group(1));
+        try {
+            return dimension.unit(matcher.group(2)).map(unit -> number.multiply(BigDecimal.valueOf(unit.factor()))
+                    .longValueExact());
+        } catch (ArithmeticException e) {
+            return Optional.empty();
+        }
+    }
+
+    private long inRange(String key, long value, long smallest, long largest, Range range) {
+        if (value >= smallest && value <= largest) {
+            return value;
+        }
+        reportValue(key, DocumentErrorCode.OUT_OF_RANGE, "is out of range; " + range.advice());
+        return smallest;
+    }
+}
