Add the messages of the inner protocol

The daemon needs the types of the inner protocol before the endpoint exists.

A separate chunk type per direction was ruled out: odd call numbers belong to the connecting side and even ones to the accepting side, which tells them apart.

--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
@@ -0,0 +1,50 @@
+package org.plantainshunt.protocol;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A call on its way from an entry node to a serving node. The body is not copied and must not be changed.
+ *
+ * @param service the service called
+ * @param kind the kind of request
+ * @param path rest of the path and query, as sent by the caller
+ * @param method HTTP method
+ * @param headers HTTP headers for the backend server
+ * @param body whole body; empty if there is none
+ * @param requestId identity of the first request of the call chain
+ * @param priority 0 (most important) to 511
+ * @param deadlineMilliseconds time left, in milliseconds; the time a call waits for the socket is subtracted
+ * @param allowance retries that may be spent on this call and the calls below it
+ * @param ticket ticket of a call that runs at most once
+ * @param traceParent W3C trace context; empty if there is none
+ * @param documentNumber version of the configuration in force at the sender; 0 if there is none
+ */
+public record CallMessage(
+        String service,
+        String kind,
+        String path,
+        String method,
+        List<Header> headers,
+        byte[] body,
+        String requestId,
+        int priority,
+        long deadlineMilliseconds,
+        int allowance,
+        Optional<String> ticket,
+        String traceParent,
+        long documentNumber) {
+    /** Checks that no part is missing and copies the headers. */
+    public CallMessage {
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(method, "method");
+        headers = List.copyOf(headers);
+        Objects.requireNonNull(body, "body");
+        Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(ticket, "ticket");
+        Objects.requireNonNull(traceParent, "traceParent");
+    }
+}
