Add the platform stand-in

Fleet tests need a configuration service and a VM list that they can change, stop, stall and leave stale. Reads are counted per endpoint, because the platform serves only a bounded number of reads a second. A ready-made HTTP stub library was ruled out: none of them holds a document back on demand while it counts reads, and Ratpack is the server the project uses anyway.

--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/HttpServers.java
@@ -0,0 +1,45 @@
+package org.plantainshunt.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+
+import ratpack.func.Action;
+import ratpack.handling.Chain;
+import ratpack.server.RatpackServer;
+
+/** Starts Ratpack servers with the limits that the stand-ins share. */
+final class HttpServers {
+    /** The largest body that a stand-in takes, in bytes; over the 1 MB that a platform value may hold. */
+    private static final int LARGEST_BODY = 4 * 1024 * 1024;
+
+    private HttpServers() {}
+
+    /**
+     * Starts a server and returns it once it accepts connections.
+     *
+     * @throws Exception if the address cannot be bound
+     */
+    static RatpackServer start(Endpoint listen, int threads, Action<? super Chain> handlers) throws Exception {
+        return RatpackServer.start(
+                server -> server.serverConfig(config -> config.address(InetAddress.getByName(listen.host()))
+                                .port(listen.port())
+                                .threads(threads)
+                                .development(false)
+                                .registerShutdownHook(true)
+                                .maxContentLength(LARGEST_BODY))
+                        .handlers(handlers));
+    }
+
+    /**
+     * Stops a server.
+     *
+     * @throws IOException if the server cannot be stopped cleanly
+     */
+    static void stop(RatpackServer server) throws IOException {
+        try {
+            server.stop();
+        } catch (Exception failure) {
+            throw new IOException("server did not stop", failure);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/PlatformServer.java
@@ -0,0 +1,144 @@
+package org.plantainshunt.standins;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import ratpack.exec.Promise;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+import ratpack.server.RatpackServer;
+
+/**
+ * Stands in for the platform: a configuration service and a VM list that can only be read, both held in memory.
+ *
+ * <p>Serves {@code GET /configuration} and {@code GET /vm-list} with an entity tag. Tests control it below
+ * {@code /control}: {@code PUT configuration}, {@code PUT vm-list}, {@code PUT mode} and {@code GET counts}. Safe for
+ * use by any thread.
+ */
+public final class PlatformServer implements AutoCloseable {
+    private static final String MEDIA_TYPE = "text/plain;charset=UTF-8";
+    private static final int THREADS = 2;
+    private static final int STATUS_NOT_MODIFIED = 304;
+    private static final int STATUS_BAD_REQUEST = 400;
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Shelf configuration = new Shelf();
+    private final Shelf vmList = new Shelf();
+    private final Endpoint listen;
+    private final RatpackServer server;
+    private volatile PlatformMode mode = PlatformMode.OK;
+
+    /**
+     * Starts the server.
+     *
+     * @param listen the address to bind
+     * @throws Exception if the address cannot be bound
+     */
+    public PlatformServer(Endpoint listen) throws Exception {
+        this.listen = listen;
+        server = HttpServers.start(listen, THREADS, this::routes);
+    }
+
+    /** Returns the address that the server is bound to. */
+    public Endpoint endpoint() {
+        return listen.withPort(server.getBindPort());
+    }
+
+    @Override
+    public void close() throws IOException {
+        HttpServers.stop(server);
+    }
+
+    private void routes(Chain chain) throws Exception {
+        chain.get("configuration", context -> read(context, configuration))
+                .get("vm-list", context -> read(context, vmList))
+                .prefix("control", control -> control.put("configuration", context -> replace(context, configuration))
+                        .put("vm-list", context -> replace(context, vmList))
+                        .put("mode", this::changeMode)
+                        .get("counts", this::counts));
+    }
+
+    private void read(Context context, Shelf shelf) {
+        PlatformMode current = mode;
+        Optional<PlatformDocument> document = shelf.document(current);
+        String known = context.getRequest().getHeaders().get("If-None-Match");
+        boolean unchanged = current != PlatformMode.DOWN
+                && current != PlatformMode.STALLED
+                && document.isPresent()
+                && document.get().entityTag().equals(known);
+        shelf.reads.count(unchanged, System.nanoTime());
+        switch (current) {
+            case DOWN -> context.getResponse().status(STATUS_UNAVAILABLE).send("platform is down\n");
+            case STALLED -> Promise.<Void>async(downstream -> {}).then(unused -> {});
+            default -> answer(context, document, unchanged);
+        }
+    }
+
+    private static void answer(Context context, Optional<PlatformDocument> document, boolean unchanged) {
+        if (document.isEmpty()) {
+            context.getResponse().status(STATUS_NOT_FOUND).send("no document\n");
+            return;
+        }
+        context.getResponse().getHeaders().set("ETag", document.get().entityTag());
+        if (unchanged) {
+            context.getResponse().status(STATUS_NOT_MODIFIED).send();
+            return;
+        }
+        context.getResponse().send(MEDIA_TYPE, document.get().bytes());
+    }
+
+    private static void replace(Context context, Shelf shelf) {
+        context.getRequest().getBody().then(body -> {
+            shelf.current.set(new PlatformDocument(body.getBytes()));
+            context.getResponse().send("ok\n");
+        });
+    }
+
+    private void changeMode(Context context) {
+        context.getRequest().getBody().then(body -> {
+            try {
+                setMode(PlatformMode.parse(body.getText()));
+                context.getResponse().send("ok\n");
+            } catch (IllegalArgumentException failure) {
+                context.getResponse().status(STATUS_BAD_REQUEST).send(failure.getMessage() + "\n");
+            }
+        });
+    }
+
+    private synchronized void setMode(PlatformMode next) {
+        if (next == PlatformMode.STALE && mode != PlatformMode.STALE) {
+            configuration.keep();
+            vmList.keep();
+        }
+        mode = next;
+    }
+
+    private void counts(Context context) throws Exception {
+        long now = System.nanoTime();
+        Map<String, ReadCounter.Reads> counts = new LinkedHashMap<>();
+        counts.put("configuration", configuration.reads.snapshot(now));
+        counts.put("vm-list", vmList.reads.snapshot(now));
+        context.getResponse().send("application/json", JSON.writeValueAsBytes(counts));
+    }
+
+    /** A current document, the one kept for the stale mode, and the reads of both. */
+    private static final class Shelf {
+        private final AtomicReference<PlatformDocument> current = new AtomicReference<>();
+        private final AtomicReference<PlatformDocument> kept = new AtomicReference<>();
+        private final ReadCounter reads = new ReadCounter();
+
+        void keep() {
+            kept.set(current.get());
+        }
+
+        Optional<PlatformDocument> document(PlatformMode mode) {
+            return Optional.ofNullable(mode == PlatformMode.STALE ? kept.get() : current.get());
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/ReadCounter.java
@@ -0,0 +1,52 @@
+package org.plantainshunt.standins;
+
+/**
+ * Counts reads in total and over the last complete second.
+ *
+ * <p>Safe for use by any thread.
+ */
+final class ReadCounter {
+    private static final long SECOND = 1_000_000_000L;
+
+    private long total;
+    private long notModified;
+    private long second;
+    private long inSecond;
+    private long inSecondBefore;
+    private long largestInSecond;
+
+    synchronized void count(boolean unchanged, long now) {
+        advance(now);
+        total++;
+        inSecond++;
+        largestInSecond = Math.max(largestInSecond, inSecond);
+        if (unchanged) {
+            notModified++;
+        }
+    }
+
+    synchronized Reads snapshot(long now) {
+        advance(now);
+        return new Reads(total, notModified, inSecondBefore, largestInSecond);
+    }
+
+    private void advance(long now) {
+        long current = Math.floorDiv(now, SECOND);
+        if (current == second) {
+            return;
+        }
+        inSecondBefore = current == second + 1 ? inSecond : 0;
+        inSecond = 0;
+        second = current;
+    }
+
+    /**
+     * Reads of one endpoint.
+     *
+     * @param total reads since the start
+     * @param notModified reads that were answered 304
+     * @param perSecond reads in the last complete second
+     * @param largestPerSecond the most reads in one second so far
+     */
+    record Reads(long total, long notModified, long perSecond, long largestPerSecond) {}
+}
