--- a/core/src/main/java/org/plantainshunt/configuration/LineScan.java
+++ b/core/src/main/java/org/plantainshunt/configuration/LineScan.java
@@ -153,7 +153,7 @@
             return;
         }
         FoundSection section = current.get();
-        String heading = heading(section);
+        String heading = section.type().heading(section.names());
         if (!section.type().keys().contains(key)) {
             errors.add(new DocumentError(number, heading, key, DocumentErrorCode.UNKNOWN_KEY, unknownKey(section)));
             return;
@@ -189,10 +189,6 @@
                 : "the section has no such key; write one of " + String.join(", ", keys);
     }
 
-    private static String heading(FoundSection section) {
-        return new Section(section.line(), section.type(), section.names(), Map.of()).heading();
-    }
-
     private static String allForms() {
         List<String> forms = new ArrayList<>();
         for (SectionType type : SectionType.values()) {
--- a/core/src/main/java/org/plantainshunt/configuration/Section.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Section.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A section as it is written in a document, before its values are interpreted.
@@ -11,8 +12,9 @@
  * @param type what the section describes
  * @param names the names in the heading, as many as the type has
  * @param entries the keys with their values, in the order of the document
+ * @param faulty the keys whose values are malformed; they have no entry, and their errors are noted already
  */
-record Section(int line, SectionType type, List<String> names, Map<String, Entry> entries) {
+record Section(int line, SectionType type, List<String> names, Map<String, Entry> entries, Set<String> faulty) {
     /**
      * A key's value as it is written in the document.
      *
@@ -27,15 +29,18 @@
 
     /** Returns the heading without brackets. */
     String heading() {
-        String form = type.form();
-        String word = form.substring(1, form.length() - 1).split(" ")[0];
-        return names.isEmpty() ? word : word + " " + String.join(" ", names);
+        return type.heading(names);
     }
 
     Optional<Entry> entry(String key) {
         return Optional.ofNullable(entries.get(key));
     }
 
+    /** Returns whether a key is written, with an entry or with a malformed value. */
+    boolean has(String key) {
+        return entries.containsKey(key) || faulty.contains(key);
+    }
+
     /** Returns an error at a key, or at the heading if the key is absent. */
     DocumentError error(String key, DocumentErrorCode code, String message) {
         int errorLine = entry(key).map(Entry::line).orElse(line);
--- a/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
+++ b/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
@@ -7,9 +7,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -81,6 +83,8 @@
             String value = child.getValue() == null ? "" : child.getValue().toString();
             entries.put(key, new Section.Entry(found.keyLines().get(key), value));
         }
-        return new Section(found.line(), found.type(), found.names(), entries);
+        Set<String> faulty = new HashSet<>(found.keyLines().keySet());
+        faulty.removeAll(entries.keySet());
+        return new Section(found.line(), found.type(), found.names(), entries, faulty);
     }
 }
--- a/core/src/main/java/org/plantainshunt/configuration/SectionType.java
+++ b/core/src/main/java/org/plantainshunt/configuration/SectionType.java
@@ -60,7 +60,12 @@
 
     /** Returns the form of the heading, for example {@code [kind SERVICE KIND]}. */
     String form() {
-        return names.isEmpty() ? "[" + word + "]" : "[" + word + " " + String.join(" ", names) + "]";
+        return "[" + heading(names) + "]";
+    }
+
+    /** Returns the heading without brackets. */
+    String heading(List<String> givenNames) {
+        return givenNames.isEmpty() ? word : word + " " + String.join(" ", givenNames);
     }
 
     List<String> required() {
--- a/core/src/main/java/org/plantainshunt/configuration/Unit.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Unit.java
@@ -20,6 +20,9 @@
     MEGABITS_PER_SECOND("Mbit/s", Dimension.RATE, 1_000_000),
     PERCENT("%", Dimension.SHARE, 1_000_000);
 
+    /** The steps of {@link Dimension#SHARE} in the whole. */
+    static final double SHARE_STEPS = 100_000_000.0;
+
     private final String symbol;
     private final Dimension dimension;
     private final long factor;
@@ -49,25 +52,34 @@
 
         /** Returns what to write, for a message. */
         String advice() {
-            List<String> symbols = new ArrayList<>();
+            List<String> symbols = units().stream().map(Unit::symbol).toList();
+            return "write a number with the unit " + String.join(" or ", symbols) + ", for example " + example;
+        }
+
+        /** Returns the units of the dimension, the smallest first. */
+        List<Unit> units() {
+            List<Unit> units = new ArrayList<>();
             for (Unit unit : Unit.values()) {
                 if (unit.dimension == this) {
-                    symbols.add(unit.symbol);
+                    units.add(unit);
                 }
             }
-            return "write a number with the unit " + String.join(" or ", symbols) + ", for example " + example;
+            return units;
+        }
+
+        Unit smallestUnit() {
+            return units().get(0);
         }
 
         Optional<Unit> unit(String symbol) {
-            for (Unit unit : Unit.values()) {
-                if (unit.dimension == this && unit.symbol.equals(symbol)) {
-                    return Optional.of(unit);
-                }
-            }
-            return Optional.empty();
+            return units().stream().filter(unit -> unit.symbol.equals(symbol)).findFirst();
         }
     }
 
+    String symbol() {
+        return symbol;
+    }
+
     /** Returns the number of steps of the dimension that make one unit. */
     long factor() {
         return factor;
--- a/core/src/main/java/org/plantainshunt/configuration/ValueReader.java
+++ b/core/src/main/java/org/plantainshunt/configuration/ValueReader.java
@@ -3,7 +3,6 @@
 import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -15,9 +14,6 @@
  * from it, because the error is noted. Confined to one thread.
  */
 final class ValueReader {
-    /** A share is held in millionths of a percent while it is read. */
-    private static final double SHARE_STEPS = 100_000_000.0;
-
     private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,18}");
     private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,18}(?:\\.[0-9]{1,9})?)\\s*([A-Za-z/%]*)");
 
@@ -32,7 +28,7 @@
     /** Notes each key without default that the section lacks. */
     void checkRequiredKeys() {
         for (String key : section.type().required()) {
-            if (section.entry(key).isEmpty()) {
+            if (!section.has(key)) {
                 report(key, DocumentErrorCode.MISSING_KEY, "the key is missing; add it to the section");
             }
         }
@@ -98,7 +94,9 @@
     }
 
     double share(String key, Range range, double defaultValue) {
-        return section.entry(key).isEmpty() ? defaultValue : quantity(key, Unit.Dimension.SHARE, range) / SHARE_STEPS;
+        return section.entry(key).isEmpty()
+                ? defaultValue
+                : quantity(key, Unit.Dimension.SHARE, range) / Unit.SHARE_STEPS;
     }
 
     /** Reads one word out of a list; returns its index, or 0 if there is no such word. */
@@ -118,7 +116,7 @@
 
     PriorityClass priorityClass(String key) {
         List<String> words = List.of(PriorityClass.values()).stream()
-                .map(value -> value.name().toLowerCase(Locale.ROOT))
+                .map(Notation::priorityClass)
                 .toList();
         return PriorityClass.values()[choice(key, words)];
     }
