Add the endpoint of the inner protocol

The entry and the serving node need one endpoint that opens and accepts connections, proves the shared secret and carries calls, tickets and documents.

Frames wait in the connection's own queue and are handed to the channel only while it is writable. Writing all chunks at once and leaving the order to Netty was ruled out: it holds whole bodies in the channel and keeps a small answer behind them.

A call stays in its table until its last frame is handed to the socket, so the limit on open calls bounds the memory a peer can take.

--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/BodyStream.java
@@ -0,0 +1,73 @@
+package org.plantainshunt.protocol;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+import java.util.function.Supplier;
+import java.util.zip.CRC32C;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.plantainshunt.protocol.wire.Chunk;
+import org.plantainshunt.protocol.wire.Frame;
+
+/**
+ * A call or an answer that is being sent: a start frame, the chunks of the body, and an end frame with the CRC32C.
+ *
+ * <p>A small one is sent in a single turn. Confined to the event loop.
+ */
+final class BodyStream implements OutgoingStream {
+    private final long call;
+    private final Supplier<Optional<Frame>> start;
+    private final byte[] body;
+    private final IntFunction<Frame> end;
+    private final CRC32C checksum = new CRC32C();
+    private boolean started;
+    private int sent;
+
+    /**
+     * Creates a stream.
+     *
+     * @param start makes the start frame when its turn has come; nothing is sent if there is none
+     * @param end makes the end frame from the checksum
+     */
+    BodyStream(long call, Supplier<Optional<Frame>> start, byte[] body, IntFunction<Frame> end) {
+        this.call = call;
+        this.start = start;
+        this.body = body;
+        this.end = end;
+    }
+
+    /** Returns whether the start frame has been handed to the socket. */
+    boolean started() {
+        return started;
+    }
+
+    @Override
+    public boolean writeTurn(Consumer<Frame> output) {
+        if (!started) {
+            Optional<Frame> frame = start.get();
+            if (frame.isEmpty()) {
+                return false;
+            }
+            started = true;
+            output.accept(frame.get());
+        }
+        if (sent < body.length) {
+            writeChunk(output);
+        }
+        if (sent < body.length) {
+            return true;
+        }
+        output.accept(end.apply((int) checksum.getValue()));
+        return false;
+    }
+
+    private void writeChunk(Consumer<Frame> output) {
+        int length = Math.min(Frames.MAXIMUM_CHUNK_BYTES, body.length - sent);
+        checksum.update(body, sent, length);
+        Chunk.Builder chunk =
+                Chunk.newBuilder().setCall(call).setData(UnsafeByteOperations.unsafeWrap(body, sent, length));
+        sent += length;
+        output.accept(Frame.newBuilder().setChunk(chunk).build());
+    }
+}
--- a/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
@@ -35,8 +35,17 @@
         Optional<String> ticket,
         String traceParent,
         long documentNumber) {
-    /** Checks that no part is missing and copies the headers. */
+    /** Largest value of a priority; the least important. */
+    public static final int HIGHEST_PRIORITY_VALUE = 511;
+
+    /** Checks that no part is missing and that the numbers are in range, and copies the headers. */
     public CallMessage {
+        if (priority < 0 || priority > HIGHEST_PRIORITY_VALUE) {
+            throw new IllegalArgumentException("priority " + priority + " is not in 0 to 511");
+        }
+        if (allowance < 0) {
+            throw new IllegalArgumentException("allowance " + allowance + " is negative");
+        }
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(path, "path");
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -0,0 +1,247 @@
+package org.plantainshunt.protocol;
+
+import java.util.concurrent.RejectedExecutionException;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.plantainshunt.protocol.wire.DocumentAnnouncement;
+import org.plantainshunt.protocol.wire.DocumentRequest;
+import org.plantainshunt.protocol.wire.Draining;
+import org.plantainshunt.protocol.wire.Frame;
+import org.plantainshunt.protocol.wire.Ping;
+import org.plantainshunt.protocol.wire.Pong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * An authenticated connection: spreads the frames that arrive over the parts that handle them.
+ *
+ * <p>The public methods are safe for use by any thread; they pass their work on to the event loop.
+ */
+final class Connection extends SimpleChannelInboundHandler<Frame> implements InnerConnection {
+    /**
+     * Most calls and ticket requests that each side of a connection may have open. Several times the slots and queue
+     * of the largest service, so that it bounds memory and never decides on admission.
+     */
+    static final int MAXIMUM_OPEN_CALLS = 1_024;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(Connection.class);
+
+    private final Channel channel;
+    private final EndpointContext context;
+    private final Greeting peer;
+    private final FrameWriter writer;
+    private final OutgoingCalls outgoing;
+    private final IncomingCalls incoming;
+    private final DocumentTransfer documents;
+    private boolean pingSent;
+
+    /**
+     * Creates the connection after the handshake.
+     *
+     * @param firstCall 1 on the connecting side, 2 on the accepting side
+     */
+    Connection(Channel channel, EndpointContext context, Greeting peer, int firstCall) {
+        this.channel = channel;
+        this.context = context;
+        this.peer = peer;
+        this.writer = new FrameWriter(channel);
+        this.outgoing = new OutgoingCalls(writer, context.settings().maximumBodyBytes(), firstCall);
+        this.incoming = new IncomingCalls(writer, context, peer.vm(), task -> run(task, () -> {}));
+        this.documents = new DocumentTransfer(writer);
+    }
+
+    @Override
+    public String peerVm() {
+        return peer.vm();
+    }
+
+    @Override
+    public long peerIncarnation() {
+        return peer.incarnation();
+    }
+
+    @Override
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
+    @Override
+    public CancelHandle call(CallMessage message, AnswerListener listener) {
+        OutgoingCall call = new OutgoingCall(message, listener);
+        run(() -> outgoing.start(call), () -> call.refused(OutgoingCalls.unsent(call, OutgoingCalls.connectFailed())));
+        return () -> run(() -> outgoing.cancel(call), () -> {});
+    }
+
+    @Override
+    public void requestTicket(String service, String kind, TicketListener listener) {
+        run(
+                () -> outgoing.requestTicket(service, kind, listener),
+                () -> listener.refused(OutgoingCalls.connectFailed()));
+    }
+
+    @Override
+    public void announce(Announcement announcement) {
+        DocumentAnnouncement.Builder frame = DocumentAnnouncement.newBuilder()
+                .setDocumentKind(announcement.documentKind())
+                .setNumber(announcement.number())
+                .setDigest(announcement.digest());
+        send(Frame.newBuilder().setDocumentAnnouncement(frame));
+    }
+
+    @Override
+    public void requestDocument(String documentKind) {
+        send(Frame.newBuilder().setDocumentRequest(DocumentRequest.newBuilder().setDocumentKind(documentKind)));
+    }
+
+    @Override
+    public void sendDocument(DocumentMessage document) {
+        run(() -> documents.send(document), () -> {});
+    }
+
+    @Override
+    public void sayDraining() {
+        send(Frame.newBuilder()
+                .setDraining(
+                        Draining.newBuilder().setIncarnation(context.settings().incarnation())));
+    }
+
+    @Override
+    public void close() {
+        channel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext handlerContext, Frame frame) throws ProtocolException {
+        pingSent = false;
+        switch (frame.getContentCase()) {
+            case CALL_START, CHUNK, CALL_END, CANCEL, TICKET_REQUEST -> receiveRequest(frame);
+            case ANSWER_START, ANSWER_END, CALL_REFUSED, TICKET_GRANT -> receiveReply(frame);
+            case DRAINING -> receiveDraining(frame.getDraining());
+            case DOCUMENT_ANNOUNCEMENT -> receiveAnnouncement(frame.getDocumentAnnouncement());
+            case DOCUMENT_REQUEST -> context.peerHandler()
+                    .documentRequested(this, frame.getDocumentRequest().getDocumentKind());
+            case DOCUMENT_PART -> documents.receive(frame.getDocumentPart()).ifPresent(document -> context.peerHandler()
+                    .documentReceived(this, document));
+            case PING -> writer.sendControl(
+                    Frame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+            case PONG -> LOGGER.debug("{} is alive", peer.vm());
+            default -> throw Wire.invalid("the peer sent the unexpected frame " + frame.getContentCase());
+        }
+    }
+
+    private void receiveRequest(Frame frame) throws ProtocolException {
+        switch (frame.getContentCase()) {
+            case CALL_START -> {
+                requirePeerNumber(frame.getCallStart().getCall());
+                incoming.start(frame.getCallStart());
+            }
+            case TICKET_REQUEST -> {
+                requirePeerNumber(frame.getTicketRequest().getCall());
+                incoming.requestTicket(frame.getTicketRequest());
+            }
+            case CALL_END -> incoming.end(frame.getCallEnd());
+            case CANCEL -> incoming.cancel(frame.getCancel());
+            default -> receiveChunk(frame);
+        }
+    }
+
+    private void receiveChunk(Frame frame) throws ProtocolException {
+        if (outgoing.isOwn(frame.getChunk().getCall())) {
+            outgoing.chunk(frame.getChunk());
+        } else {
+            incoming.chunk(frame.getChunk());
+        }
+    }
+
+    private void receiveReply(Frame frame) throws ProtocolException {
+        switch (frame.getContentCase()) {
+            case ANSWER_START -> outgoing.answerStart(frame.getAnswerStart());
+            case ANSWER_END -> outgoing.answerEnd(frame.getAnswerEnd());
+            case CALL_REFUSED -> outgoing.refused(frame.getCallRefused());
+            default -> outgoing.granted(frame.getTicketGrant());
+        }
+    }
+
+    private void requirePeerNumber(long number) throws ProtocolException {
+        if (outgoing.isOwn(number)) {
+            throw Wire.invalid("the peer started call " + number + ", a number of this side");
+        }
+    }
+
+    private void receiveDraining(Draining draining) throws ProtocolException {
+        if (draining.getIncarnation() != peer.incarnation()) {
+            throw Wire.invalid("the peer says that another incarnation is leaving");
+        }
+        context.peerHandler().draining(peer.vm(), peer.incarnation());
+    }
+
+    private void receiveAnnouncement(DocumentAnnouncement frame) {
+        Announcement announcement = new Announcement(frame.getDocumentKind(), frame.getNumber(), frame.getDigest());
+        context.peerHandler().announced(this, announcement);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+        writer.schedule();
+    }
+
+    /** Asks a silent peer for a sign of life while something depends on it, and gives up on the second silence. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext handlerContext, Object event) {
+        if (!(event instanceof IdleStateEvent)) {
+            return;
+        }
+        if (pingSent) {
+            LOGGER.warn("connection with {} closed: no sign of life", peer.vm());
+            close();
+            return;
+        }
+        if (!outgoing.isEmpty() || writer.isWaiting()) {
+            pingSent = true;
+            writer.sendControl(
+                    Frame.newBuilder().setPing(Ping.getDefaultInstance()).build());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext handlerContext) {
+        writer.close();
+        outgoing.connectionLost();
+        incoming.connectionLost();
+        context.peers().closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+        if (cause instanceof ProtocolException || cause instanceof DecoderException) {
+            LOGGER.warn("connection with {} at {} closed: {}", peer.vm(), channel.remoteAddress(), reason(cause));
+        } else if (cause instanceof RuntimeException) {
+            LOGGER.error("connection with {} at {} closed", peer.vm(), channel.remoteAddress(), cause);
+        } else {
+            LOGGER.debug("connection with {} at {} closed", peer.vm(), channel.remoteAddress(), cause);
+        }
+        close();
+    }
+
+    /** Returns the message of the failure that the decoder wrapped. */
+    static String reason(Throwable failure) {
+        Throwable cause = failure instanceof DecoderException ? failure.getCause() : null;
+        return (cause == null ? failure : cause).getMessage();
+    }
+
+    private void send(Frame.Builder frame) {
+        run(() -> writer.sendControl(frame.build()), () -> {});
+    }
+
+    private void run(Runnable task, Runnable onClosedEndpoint) {
+        try {
+            channel.eventLoop().execute(task);
+        } catch (RejectedExecutionException closedEndpoint) {
+            onClosedEndpoint.run();
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/EndpointContext.java
@@ -0,0 +1,51 @@
+package org.plantainshunt.protocol;
+
+import java.util.Objects;
+
+/** What the connections of an endpoint share. Safe for use by any thread. */
+final class EndpointContext {
+    private final InnerSettings settings;
+    private final CallHandler callHandler;
+    private final PeerHandler peerHandler;
+    private final Authenticator authenticator;
+    private final Peers peers;
+    private volatile LoadReport lastLoad = LoadReport.NONE;
+
+    EndpointContext(InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.callHandler = Objects.requireNonNull(callHandler, "callHandler");
+        this.peerHandler = Objects.requireNonNull(peerHandler, "peerHandler");
+        this.authenticator = new Authenticator(settings.sharedSecret());
+        this.peers = new Peers(peerHandler);
+    }
+
+    InnerSettings settings() {
+        return settings;
+    }
+
+    CallHandler callHandler() {
+        return callHandler;
+    }
+
+    PeerHandler peerHandler() {
+        return peerHandler;
+    }
+
+    Authenticator authenticator() {
+        return authenticator;
+    }
+
+    Peers peers() {
+        return peers;
+    }
+
+    /** Remembers the load that the handler reported last. */
+    void report(LoadReport load) {
+        lastLoad = load;
+    }
+
+    /** Returns the load to send with refusals that are made here, without the handler. */
+    LoadReport lastLoad() {
+        return lastLoad;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
@@ -0,0 +1,128 @@
+package org.plantainshunt.protocol;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.channel.Channel;
+import org.plantainshunt.protocol.wire.Frame;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Hands the frames of a connection to its socket while the socket takes more.
+ *
+ * <p>Control frames go first. The streams take turns; a new stream waits for one turn of the streams under way,
+ * however many there are, so that a small answer overtakes large ones. Frames wait here and not in the channel, which
+ * never holds much more than its high-water mark. Confined to the event loop.
+ */
+final class FrameWriter {
+    /**
+     * Most control frames that may wait for the socket. Bounds the memory that a peer takes by sending requests without
+     * reading the replies; four for each call that may be open.
+     */
+    static final int MAXIMUM_WAITING_CONTROL_FRAMES = 4 * Connection.MAXIMUM_OPEN_CALLS;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(FrameWriter.class);
+
+    private final Channel channel;
+    private final Deque<Frame> control = new ArrayDeque<>();
+    private final Deque<OutgoingStream> fresh = new ArrayDeque<>();
+    private final Deque<OutgoingStream> underWay = new ArrayDeque<>();
+    private boolean freshNext = true;
+    private boolean scheduled;
+    private boolean closed;
+
+    FrameWriter(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Sends a frame ahead of all streams. A frame over the size limit is dropped with a log line. */
+    void sendControl(Frame frame) {
+        if (closed) {
+            return;
+        }
+        if (!Frames.fits(frame)) {
+            LOGGER.error("frame {} of {} bytes dropped", frame.getContentCase(), frame.getSerializedSize());
+            return;
+        }
+        if (control.size() >= MAXIMUM_WAITING_CONTROL_FRAMES) {
+            LOGGER.warn("connection with {} closed: it does not read what is sent", channel.remoteAddress());
+            close();
+            channel.close();
+            return;
+        }
+        control.add(frame);
+        schedule();
+    }
+
+    /** Adds a stream. */
+    void add(OutgoingStream stream) {
+        if (!closed) {
+            fresh.add(stream);
+            schedule();
+        }
+    }
+
+    /** Removes a stream; nothing more of it is sent. */
+    void withdraw(OutgoingStream stream) {
+        if (!fresh.remove(stream)) {
+            underWay.remove(stream);
+        }
+    }
+
+    /** Returns whether frames are waiting for the socket. */
+    boolean isWaiting() {
+        return !channel.isWritable() || !control.isEmpty() || !fresh.isEmpty() || !underWay.isEmpty();
+    }
+
+    /** Writes on the next turn of the event loop, so that frames of the same turn share a system call. */
+    void schedule() {
+        if (!scheduled && !closed) {
+            scheduled = true;
+            channel.eventLoop().execute(this::write);
+        }
+    }
+
+    /** Drops everything that is waiting. */
+    void close() {
+        closed = true;
+        control.clear();
+        fresh.clear();
+        underWay.clear();
+    }
+
+    private void write() {
+        scheduled = false;
+        boolean more = true;
+        while (more && channel.isActive() && channel.isWritable()) {
+            more = writeNext();
+        }
+        channel.flush();
+    }
+
+    private boolean writeNext() {
+        Frame frame = control.poll();
+        if (frame != null) {
+            write(frame);
+            return true;
+        }
+        OutgoingStream stream = nextStream();
+        if (stream == null) {
+            return false;
+        }
+        if (stream.writeTurn(this::write)) {
+            underWay.add(stream);
+        }
+        return true;
+    }
+
+    private OutgoingStream nextStream() {
+        boolean takeFresh = underWay.isEmpty() || freshNext && !fresh.isEmpty();
+        freshNext = !takeFresh;
+        return takeFresh ? fresh.poll() : underWay.poll();
+    }
+
+    private void write(Frame frame) {
+        channel.write(Frames.encode(channel.alloc(), frame), channel.voidPromise());
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/IncomingCall.java
@@ -0,0 +1,71 @@
+package org.plantainshunt.protocol;
+
+import java.util.Optional;
+
+import org.plantainshunt.protocol.wire.CallStart;
+
+/** A call of the peer that has not been answered whole. Confined to the event loop. */
+final class IncomingCall {
+    private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+
+    private final CallStart start;
+    private final BodyAssembly body;
+    private final long startedNanoseconds = System.nanoTime();
+    private CancelHandle cancelHandle;
+    private AnswerMessage answer;
+    private BodyStream answerStream;
+    private boolean cancelled;
+
+    IncomingCall(CallStart start) {
+        this.start = start;
+        this.body = new BodyAssembly(start.getBodyLength());
+    }
+
+    CallStart start() {
+        return start;
+    }
+
+    long number() {
+        return start.getCall();
+    }
+
+    BodyAssembly body() {
+        return body;
+    }
+
+    /** Returns the time since the call began to arrive, in milliseconds. */
+    long elapsedMilliseconds() {
+        return (System.nanoTime() - startedNanoseconds) / NANOSECONDS_PER_MILLISECOND;
+    }
+
+    void handedOver(CancelHandle handle) {
+        cancelHandle = handle;
+    }
+
+    /** Returns the handle of the handler; empty before the whole body has arrived. */
+    Optional<CancelHandle> cancelHandle() {
+        return Optional.ofNullable(cancelHandle);
+    }
+
+    void answerBegun(AnswerMessage message, BodyStream stream) {
+        answer = message;
+        answerStream = stream;
+    }
+
+    /** Returns the stream of the answer; empty before there is an answer. */
+    Optional<BodyStream> answerStream() {
+        return Optional.ofNullable(answerStream);
+    }
+
+    AnswerMessage answer() {
+        return answer;
+    }
+
+    void markCancelled() {
+        cancelled = true;
+    }
+
+    boolean isCancelled() {
+        return cancelled;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/IncomingCalls.java
@@ -0,0 +1,306 @@
+package org.plantainshunt.protocol;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+import org.plantainshunt.protocol.wire.AnswerEnd;
+import org.plantainshunt.protocol.wire.CallEnd;
+import org.plantainshunt.protocol.wire.CallStart;
+import org.plantainshunt.protocol.wire.Cancel;
+import org.plantainshunt.protocol.wire.Chunk;
+import org.plantainshunt.protocol.wire.Frame;
+import org.plantainshunt.protocol.wire.TicketGrant;
+import org.plantainshunt.protocol.wire.TicketRequest;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The open calls and ticket requests of the peer on one connection.
+ *
+ * <p>The handler gets a call only when its whole body has arrived and been checked. A call stays in the table until the
+ * last frame of its answer is handed to the socket, so the limits on open calls and on announced bytes bound the memory
+ * that a peer can take. Confined to the event loop, except for the replies, which may come from any thread.
+ */
+final class IncomingCalls {
+    /**
+     * Most bytes of call bodies that may be announced at once on a connection, as a multiple of the largest body.
+     * Keeps 16 calls of the largest size possible without letting one peer fill the memory of the node.
+     */
+    static final int ANNOUNCED_BODIES = 16;
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(IncomingCalls.class);
+
+    private final FrameWriter writer;
+    private final EndpointContext context;
+    private final String peerVm;
+    private final Consumer<Runnable> eventLoop;
+    private final Map<Long, IncomingCall> calls = new HashMap<>();
+    private final Set<Long> tickets = new HashSet<>();
+    private long highestNumber;
+    private long announcedBytes;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param eventLoop runs a task on the event loop; drops it if the connection is gone for good
+     */
+    IncomingCalls(FrameWriter writer, EndpointContext context, String peerVm, Consumer<Runnable> eventLoop) {
+        this.writer = writer;
+        this.context = context;
+        this.peerVm = peerVm;
+        this.eventLoop = eventLoop;
+    }
+
+    void start(CallStart start) throws ProtocolException {
+        admitNumber(start.getCall());
+        Wire.check(start);
+        Optional<Refusal> obstacle = obstacle(start);
+        if (obstacle.isPresent()) {
+            refuse(start, obstacle.get());
+            return;
+        }
+        announcedBytes += start.getBodyLength();
+        calls.put(start.getCall(), new IncomingCall(start));
+    }
+
+    void chunk(Chunk chunk) throws ProtocolException {
+        IncomingCall call = find(chunk.getCall());
+        if (call != null) {
+            requireOpenBody(call).append(chunk.getData());
+        }
+    }
+
+    void end(CallEnd end) throws ProtocolException {
+        IncomingCall call = find(end.getCall());
+        if (call == null) {
+            return;
+        }
+        byte[] body = requireOpenBody(call).finish(end.getCrc32C());
+        call.handedOver(handOver(call, Wire.call(call.start(), body, call.elapsedMilliseconds())));
+    }
+
+    void cancel(Cancel cancel) throws ProtocolException {
+        IncomingCall call = find(cancel.getCall());
+        if (call == null || call.isCancelled()) {
+            return;
+        }
+        call.markCancelled();
+        if (call.cancelHandle().isEmpty()) {
+            remove(call);
+            refuse(call.start(), Refusal.of(ResultCode.CANCELLED_BEFORE_RUN, "cancelled before it had arrived"));
+            return;
+        }
+        if (call.answerStream().isPresent()) {
+            withdrawAnswer(call, call.answerStream().get());
+            return;
+        }
+        call.cancelHandle().get().cancel();
+    }
+
+    void requestTicket(TicketRequest request) throws ProtocolException {
+        long number = request.getCall();
+        admitNumber(number);
+        if (isFull()) {
+            send(number, tooManyCalls());
+            return;
+        }
+        tickets.add(number);
+        context.callHandler().ticket(peerVm, request.getService(), request.getKind(), new TicketReply(number));
+    }
+
+    /** Cancels all calls that the handler has, because their caller cannot be reached any more. */
+    void connectionLost() {
+        List<IncomingCall> open = new ArrayList<>(calls.values());
+        calls.clear();
+        tickets.clear();
+        for (IncomingCall call : open) {
+            if (!call.isCancelled() && call.answerStream().isEmpty()) {
+                call.cancelHandle().ifPresent(CancelHandle::cancel);
+            }
+        }
+    }
+
+    private Optional<Refusal> obstacle(CallStart start) {
+        int length = start.getBodyLength();
+        int limit = context.settings().maximumBodyBytes();
+        if (length > limit) {
+            String detail = "the body has " + length + " bytes; the limit is " + limit;
+            return Optional.of(Refusal.of(ResultCode.BODY_TOO_LARGE, detail));
+        }
+        if (isFull()) {
+            return Optional.of(tooManyCalls());
+        }
+        if (announcedBytes + length > (long) ANNOUNCED_BODIES * limit) {
+            return Optional.of(Refusal.of(ResultCode.NODE_BUSY, "too many bytes of bodies on the connection"));
+        }
+        return Optional.empty();
+    }
+
+    private boolean isFull() {
+        return calls.size() + tickets.size() >= Connection.MAXIMUM_OPEN_CALLS;
+    }
+
+    private static Refusal tooManyCalls() {
+        return Refusal.of(ResultCode.NODE_BUSY, "too many open calls on the connection");
+    }
+
+    private CancelHandle handOver(IncomingCall call, CallMessage message) {
+        AnswerReply reply = new AnswerReply(call);
+        try {
+            return Objects.requireNonNull(context.callHandler().call(peerVm, message, reply), "cancel handle");
+        } catch (RuntimeException exception) {
+            LOGGER.error("handler failed on a call of {} {}", message.service(), message.kind(), exception);
+            Refusal refusal = Refusal.of(ResultCode.OUTCOME_UNKNOWN, "the handler of the call failed");
+            reply.refused(new RefusalMessage(refusal, 0, context.lastLoad(), true));
+            return () -> {};
+        }
+    }
+
+    private void answer(IncomingCall call, AnswerMessage message) {
+        context.report(message.load());
+        if (calls.get(call.number()) != call) {
+            return;
+        }
+        if (call.isCancelled()) {
+            endByRefusal(call, cancelledRunning(message));
+            return;
+        }
+        Frame start = Wire.answerStart(call.number(), message);
+        if (message.body().length > context.settings().maximumBodyBytes() || !Frames.fits(start)) {
+            Refusal refusal = Refusal.of(ResultCode.ANSWER_TOO_LARGE, "body or headers exceed the limit");
+            endByRefusal(call, new RefusalMessage(refusal, message.unusedAllowance(), message.load(), true));
+            return;
+        }
+        BodyStream stream = new BodyStream(
+                call.number(), () -> Optional.of(start), message.body(), checksum -> endAnswer(call, checksum));
+        call.answerBegun(message, stream);
+        writer.add(stream);
+    }
+
+    private Frame endAnswer(IncomingCall call, int checksum) {
+        remove(call);
+        AnswerEnd.Builder end = AnswerEnd.newBuilder().setCall(call.number()).setCrc32C(checksum);
+        return Frame.newBuilder().setAnswerEnd(end).build();
+    }
+
+    /** Stops sending an answer. If its start was sent, the peer ends the call by itself. */
+    private void withdrawAnswer(IncomingCall call, BodyStream stream) {
+        writer.withdraw(stream);
+        if (stream.started()) {
+            remove(call);
+        } else {
+            endByRefusal(call, cancelledRunning(call.answer()));
+        }
+    }
+
+    private static RefusalMessage cancelledRunning(AnswerMessage answer) {
+        Refusal refusal = Refusal.of(ResultCode.CANCELLED_RUNNING, "answered after the call was cancelled");
+        return new RefusalMessage(refusal, answer.unusedAllowance(), answer.load(), true);
+    }
+
+    private void endByRefusal(IncomingCall call, RefusalMessage message) {
+        context.report(message.load());
+        if (calls.get(call.number()) != call) {
+            return;
+        }
+        remove(call);
+        writer.sendControl(Wire.refused(call.number(), message.refusal(), message.unusedAllowance(), message.load()));
+    }
+
+    /** Refuses a call that the handler never saw, so that its allowance is unspent. */
+    private void refuse(CallStart start, Refusal refusal) {
+        writer.sendControl(Wire.refused(start.getCall(), refusal, start.getAllowance(), context.lastLoad()));
+    }
+
+    private void send(long number, Refusal refusal) {
+        writer.sendControl(Wire.refused(number, refusal, 0, context.lastLoad()));
+    }
+
+    private void remove(IncomingCall call) {
+        if (calls.remove(call.number()) != null) {
+            announcedBytes -= call.start().getBodyLength();
+        }
+    }
+
+    private void admitNumber(long number) throws ProtocolException {
+        if (number <= highestNumber) {
+            throw Wire.invalid("the peer used call number " + number + " after " + highestNumber);
+        }
+        highestNumber = number;
+    }
+
+    /** Returns an open call, or null if it has ended; fails if it never began. */
+    private IncomingCall find(long number) throws ProtocolException {
+        if (number > highestNumber) {
+            throw Wire.invalid("the peer continued call " + number + ", which it did not start");
+        }
+        return calls.get(number);
+    }
+
+    private static BodyAssembly requireOpenBody(IncomingCall call) throws ProtocolException {
+        if (call.cancelHandle().isPresent()) {
+            throw Wire.invalid("the peer continued call " + call.number() + " after its end");
+        }
+        return call.body();
+    }
+
+    /** Takes the end of a call from the handler and lets only the first one through. */
+    private final class AnswerReply implements AnswerListener {
+        private final IncomingCall call;
+        private final AtomicBoolean given = new AtomicBoolean();
+
+        AnswerReply(IncomingCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public void answered(AnswerMessage message) {
+            if (given.compareAndSet(false, true)) {
+                eventLoop.accept(() -> answer(call, message));
+            }
+        }
+
+        @Override
+        public void refused(RefusalMessage message) {
+            if (given.compareAndSet(false, true)) {
+                eventLoop.accept(() -> endByRefusal(call, message));
+            }
+        }
+    }
+
+    /** Takes the end of a ticket request from the handler and lets only the first one through. */
+    private final class TicketReply implements TicketListener {
+        private final long number;
+
+        TicketReply(long number) {
+            this.number = number;
+        }
+
+        @Override
+        public void granted(String ticket) {
+            TicketGrant.Builder grant = TicketGrant.newBuilder().setCall(number).setTicket(ticket);
+            eventLoop.accept(() -> end(Frame.newBuilder().setTicketGrant(grant).build()));
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            eventLoop.accept(() -> end(Wire.refused(number, refusal, 0, context.lastLoad())));
+        }
+
+        private void end(Frame frame) {
+            if (tickets.remove(number)) {
+                writer.sendControl(frame);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -0,0 +1,168 @@
+package org.plantainshunt.protocol;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.plantainshunt.result.ResultCode;
+
+/**
+ * The end of the inner protocol in one node: accepts connections of other nodes and opens connections with them.
+ *
+ * <p>Safe for use by any thread. All callbacks run on the event loops and must not block.
+ *
+ * <pre>{@code
+ * InnerEndpoint endpoint = new InnerEndpoint(settings, callHandler, peerHandler);
+ * endpoint.listen("10.1.0.7", 7100);
+ * endpoint.connect("10.1.0.8", 7100).thenAccept(connection -> connection.call(message, listener));
+ * }</pre>
+ */
+public final class InnerEndpoint implements AutoCloseable {
+    /** Time for a handshake, and before it for the TCP connection, in seconds. */
+    static final int HANDSHAKE_SECONDS = 3;
+
+    /** Pending connections that the kernel accepts by itself; enough for a fleet that reconnects at once. */
+    private static final int ACCEPT_BACKLOG = 1_024;
+
+    /**
+     * Bytes the kernel may hold of what was sent, so that a small answer does not wait behind much of a large one on a
+     * slow link. Still several times what a link of 30 Mbit/s delivers in a round trip of 40 ms, as the kernel doubles
+     * the number.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
+
+    /** Bytes waiting in a channel below and above which the next turns are written; one and two chunks. */
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(Frames.MAXIMUM_CHUNK_BYTES, 2 * Frames.MAXIMUM_CHUNK_BYTES);
+
+    private static final long CLOSE_SECONDS = 5;
+
+    private final EndpointContext context;
+    private final EventLoopGroup eventLoops;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final AtomicInteger pendingHandshakes = new AtomicInteger();
+
+    /** Creates an endpoint that neither listens nor is connected. */
+    public InnerEndpoint(InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler) {
+        context = new EndpointContext(settings, callHandler, peerHandler);
+        eventLoops = new NioEventLoopGroup(settings.eventLoopThreads(), new DefaultThreadFactory("inner", true));
+    }
+
+    /**
+     * Accepts connections. Waits until the port is bound.
+     *
+     * @param address IP number
+     * @param port TCP port; 0 for one that the kernel chooses
+     * @return the port
+     * @throws IOException if the address cannot be bound
+     */
+    public int listen(String address, int port) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        initializeAccepted(channel);
+                    }
+                });
+        ChannelFuture bound = bootstrap.bind(new InetSocketAddress(address, port));
+        try {
+            bound.await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while binding " + address + ":" + port);
+        }
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address + ":" + port, bound.cause());
+        }
+        channels.add(bound.channel());
+        return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param address IP number
+     * @param port TCP port
+     * @return completed on an event loop after the handshake of both sides, or with a {@link ProtocolException}:
+     *     {@link ResultCode#CONNECT_FAILED}, {@link ResultCode#PROTOCOL_VERSION_MISMATCH} or
+     *     {@link ResultCode#PROTOCOL_AUTHENTICATION_FAILED}
+     */
+    public CompletableFuture<InnerConnection> connect(String address, int port) {
+        CompletableFuture<InnerConnection> result = new CompletableFuture<>();
+        if (eventLoops.isShuttingDown()) {
+            result.completeExceptionally(new ProtocolException(ResultCode.CONNECT_FAILED, "the endpoint is closed"));
+            return result;
+        }
+        Bootstrap bootstrap = new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.SECONDS.toMillis(HANDSHAKE_SECONDS))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        initializeConnecting(channel, result);
+                    }
+                });
+        bootstrap.connect(new InetSocketAddress(address, port)).addListener(future -> {
+            if (!future.isSuccess()) {
+                String message = "no connection with " + address + ":" + port + ": "
+                        + future.cause().getMessage();
+                result.completeExceptionally(new ProtocolException(ResultCode.CONNECT_FAILED, message, future.cause()));
+            }
+        });
+        return result;
+    }
+
+    /** Tells the peers of all connections, and of those that open later, that this node is leaving. */
+    public void sayDraining() {
+        context.peers().sayDraining();
+    }
+
+    /** Closes all connections; open calls end as if their connections were lost. Waits for it at most 5 s. */
+    @Override
+    public void close() {
+        channels.close();
+        eventLoops
+                .shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void initializeAccepted(Channel channel) {
+        channels.add(channel);
+        FrameDecoder decoder = new FrameDecoder();
+        channel.pipeline().addLast(decoder, new ServerHandshake(context, decoder, pendingHandshakes));
+    }
+
+    private void initializeConnecting(Channel channel, CompletableFuture<InnerConnection> result) {
+        channels.add(channel);
+        FrameDecoder decoder = new FrameDecoder();
+        channel.pipeline().addLast(decoder, new ClientHandshake(context, decoder, result));
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Wire.java
@@ -0,0 +1,169 @@
+package org.plantainshunt.protocol;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.plantainshunt.protocol.wire.AnswerStart;
+import org.plantainshunt.protocol.wire.CallRefused;
+import org.plantainshunt.protocol.wire.CallStart;
+import org.plantainshunt.protocol.wire.Frame;
+import org.plantainshunt.protocol.wire.HeaderField;
+import org.plantainshunt.protocol.wire.Identity;
+import org.plantainshunt.protocol.wire.Load;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+
+/** Converts between the messages and the frames. */
+final class Wire {
+    /** Longest detail of a refusal, in characters; keeps the frame below its limit. */
+    static final int MAXIMUM_DETAIL = 1_024;
+
+    private Wire() {}
+
+    static Identity identity(InnerSettings settings) {
+        return Identity.newBuilder()
+                .setVm(settings.vm())
+                .setIncarnation(settings.incarnation())
+                .setDraining(settings.draining().get())
+                .setDocumentNumber(settings.documentNumber().getAsLong())
+                .build();
+    }
+
+    static Greeting greeting(Identity identity) {
+        return new Greeting(
+                identity.getVm(), identity.getIncarnation(), identity.getDraining(), identity.getDocumentNumber());
+    }
+
+    static Frame callStart(long call, CallMessage message, long deadlineMilliseconds) {
+        CallStart.Builder start = CallStart.newBuilder()
+                .setCall(call)
+                .setService(message.service())
+                .setKind(message.kind())
+                .setPath(message.path())
+                .setMethod(message.method())
+                .addAllHeaders(fields(message.headers()))
+                .setBodyLength(message.body().length)
+                .setRequestId(message.requestId())
+                .setPriority(message.priority())
+                .setDeadlineMilliseconds(deadlineMilliseconds)
+                .setAllowance(message.allowance())
+                .setTraceParent(message.traceParent())
+                .setDocumentNumber(message.documentNumber());
+        message.ticket().ifPresent(start::setTicket);
+        return Frame.newBuilder().setCallStart(start).build();
+    }
+
+    static CallMessage call(CallStart start, byte[] body, long elapsedMilliseconds) {
+        return new CallMessage(
+                start.getService(),
+                start.getKind(),
+                start.getPath(),
+                start.getMethod(),
+                headers(start.getHeadersList()),
+                body,
+                start.getRequestId(),
+                start.getPriority(),
+                Math.max(0, start.getDeadlineMilliseconds() - elapsedMilliseconds),
+                start.getAllowance(),
+                start.hasTicket() ? Optional.of(start.getTicket()) : Optional.empty(),
+                start.getTraceParent(),
+                start.getDocumentNumber());
+    }
+
+    /** Checks the numbers of a call that other classes rely on. */
+    static void check(CallStart start) throws ProtocolException {
+        if (start.getBodyLength() < 0
+                || start.getPriority() < 0
+                || start.getPriority() > CallMessage.HIGHEST_PRIORITY_VALUE
+                || start.getDeadlineMilliseconds() < 0
+                || start.getAllowance() < 0) {
+            throw invalid("the peer sent a call with a number out of its range");
+        }
+    }
+
+    static Frame answerStart(long call, AnswerMessage message) {
+        AnswerStart.Builder start = AnswerStart.newBuilder()
+                .setCall(call)
+                .setCode(message.code().number())
+                .setStatus(message.status())
+                .addAllHeaders(fields(message.headers()))
+                .setBodyLength(message.body().length)
+                .setUnusedAllowance(message.unusedAllowance())
+                .setLoad(load(message.load()));
+        return Frame.newBuilder().setAnswerStart(start).build();
+    }
+
+    static AnswerMessage answer(AnswerStart start, byte[] body) throws ProtocolException {
+        return new AnswerMessage(
+                code(start.getCode()),
+                start.getStatus(),
+                headers(start.getHeadersList()),
+                body,
+                start.getUnusedAllowance(),
+                load(start.getLoad()));
+    }
+
+    static Frame refused(long call, Refusal refusal, int unusedAllowance, LoadReport load) {
+        String detail = refusal.detail();
+        CallRefused.Builder refused = CallRefused.newBuilder()
+                .setCall(call)
+                .setCode(refusal.code().number())
+                .setDetail(detail.substring(0, Math.min(detail.length(), MAXIMUM_DETAIL)))
+                .setRetryAfterMilliseconds(refusal.retryAfterMilliseconds())
+                .setUnusedAllowance(unusedAllowance)
+                .setLoad(load(load));
+        Frame frame = Frame.newBuilder().setCallRefused(refused).build();
+        if (Frames.fits(frame)) {
+            return frame;
+        }
+        return Frame.newBuilder().setCallRefused(refused.clearLoad()).build();
+    }
+
+    static Refusal refusal(CallRefused refused) throws ProtocolException {
+        return new Refusal(code(refused.getCode()), refused.getDetail(), refused.getRetryAfterMilliseconds());
+    }
+
+    static RefusalMessage refusalMessage(CallRefused refused) throws ProtocolException {
+        return new RefusalMessage(refusal(refused), refused.getUnusedAllowance(), load(refused.getLoad()), true);
+    }
+
+    static LoadReport load(Load load) {
+        return new LoadReport(load.getInFlight(), load.getQueued(), load.getLevelsMap());
+    }
+
+    static ProtocolException invalid(String message) {
+        return new ProtocolException(ResultCode.PROTOCOL_FRAME_INVALID, message);
+    }
+
+    private static Load load(LoadReport load) {
+        return Load.newBuilder()
+                .setInFlight(load.inFlight())
+                .setQueued(load.queued())
+                .putAllLevels(load.levels())
+                .build();
+    }
+
+    private static ResultCode code(int number) throws ProtocolException {
+        return ResultCode.ofNumber(number).orElseThrow(() -> invalid("the peer sent the unknown code " + number));
+    }
+
+    private static List<HeaderField> fields(List<Header> headers) {
+        List<HeaderField> fields = new ArrayList<>(headers.size());
+        for (Header header : headers) {
+            fields.add(HeaderField.newBuilder()
+                    .setName(header.name())
+                    .setValue(header.value())
+                    .build());
+        }
+        return fields;
+    }
+
+    private static List<Header> headers(List<HeaderField> fields) {
+        List<Header> headers = new ArrayList<>(fields.size());
+        for (HeaderField field : fields) {
+            headers.add(new Header(field.getName(), field.getValue()));
+        }
+        return headers;
+    }
+}
