--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/ServiceTimes.java
@@ -0,0 +1,69 @@
+package org.plantainshunt.standins;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+
+/**
+ * Draws service times: log-normal around the mean of the kind, with occasional stragglers.
+ *
+ * <p>Safe for use by any thread; the sequence of draws depends on the order of the calls.
+ */
+final class ServiceTimes {
+    /** The factor by which a cold server is slower at its start; falls to 1 over the cold period. */
+    private static final double COLD_FACTOR = 3;
+
+    private static final double NANOS_PER_MILLISECOND = 1e6;
+
+    private final Map<String, Double> meanMilliseconds;
+    private final Spread spread;
+    private final RandomGenerator random;
+    private final long startedAt;
+    private double slowFactor = 1;
+
+    ServiceTimes(Map<String, Double> meanMilliseconds, Spread spread, RandomGenerator random, long startedAt) {
+        this.meanMilliseconds = Map.copyOf(meanMilliseconds);
+        this.spread = spread;
+        this.random = random;
+        this.startedAt = startedAt;
+    }
+
+    /** Returns a service time in nanoseconds, or nothing if the kind is unknown. */
+    synchronized OptionalLong draw(String kind, long now) {
+        Double mean = meanMilliseconds.get(kind);
+        if (mean == null) {
+            return OptionalLong.empty();
+        }
+        double sigma = spread.sigma();
+        // The correction of sigma squared over two keeps the mean of the log-normal draw at the mean of the kind.
+        double milliseconds = mean * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
+        if (random.nextDouble() < spread.stragglerShare()) {
+            milliseconds *= spread.stragglerFactor();
+        }
+        return OptionalLong.of((long) (milliseconds * slowFactor * coldFactor(now) * NANOS_PER_MILLISECOND));
+    }
+
+    boolean knows(String kind) {
+        return meanMilliseconds.containsKey(kind);
+    }
+
+    synchronized void slowBy(double factor) {
+        slowFactor = factor;
+    }
+
+    private double coldFactor(long now) {
+        double cold = spread.coldMilliseconds() * NANOS_PER_MILLISECOND;
+        double left = cold - (now - startedAt);
+        return left <= 0 ? 1 : 1 + (COLD_FACTOR - 1) * left / cold;
+    }
+
+    /**
+     * How service times vary.
+     *
+     * @param sigma standard deviation of the logarithm of the service time
+     * @param stragglerShare share of stragglers, 0 to 1
+     * @param stragglerFactor how many times longer a straggler runs
+     * @param coldMilliseconds how long the server is cold after its start
+     */
+    record Spread(double sigma, double stragglerShare, double stragglerFactor, double coldMilliseconds) {}
+}
