--- a/core/src/main/java/org/plantainshunt/admission/AdmissionLevel.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionLevel.java
@@ -6,9 +6,9 @@
  * The number of priority values that the entry nodes may send, 0 to 512, computed every 100 ms.
  *
  * <p>Two things are learned in each window. The <em>capacity</em> is the number of calls that ended while the slots
- * were busy. The <em>demand</em> of each priority value is the number of calls offered with it. Entry nodes hold back most
- * calls at and above the level, so the demand there cannot be seen; it is remembered from earlier windows and decays
- * slowly, unless more is offered than remembered.
+ * were busy. The <em>demand</em> of each priority value is the number of calls offered with it. Entry nodes hold back
+ * most calls at and above the level, so the demand there cannot be seen; it is remembered from earlier windows and
+ * decays slowly, unless more is offered than remembered.
  *
  * <p>While the queue is overloaded the level falls to where the demand below it is just under the capacity. Otherwise
  * it rises by as much demand as the idle slots could have taken, so that unimportant work returns in steps that fit.
--- a/core/src/main/java/org/plantainshunt/execution/TicketTable.java
+++ b/core/src/main/java/org/plantainshunt/execution/TicketTable.java
@@ -199,6 +199,11 @@
         issuing = false;
     }
 
+    /** Ends {@link #stopIssuing}. */
+    public void resumeIssuing() {
+        issuing = true;
+    }
+
     /** Returns the number of tickets kept. */
     public int size() {
         return entries.size();
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/BackendServer.java
@@ -0,0 +1,68 @@
+package org.plantainshunt.call;
+
+import java.util.List;
+
+import org.plantainshunt.protocol.Header;
+
+/** The backend server on the node's own VM. Implementations are safe for use by any thread and never block. */
+public interface BackendServer {
+    /**
+     * Hands a request over.
+     *
+     * <p>The listener is called exactly once. A request whose deadline has passed when it is about to be written fails
+     * as {@link FailureStage#BEFORE_SENT}.
+     */
+    void send(Handover request, Listener listener);
+
+    /** Asks the backend server to give up a request; whether it does shows in the request's own end. */
+    void cancel(String callId);
+
+    /**
+     * A request at the moment of its hand-over.
+     *
+     * @param callId the id under which it can be cancelled
+     * @param kind the kind of request
+     * @param path the rest of the path with its query
+     * @param method the HTTP method
+     * @param headers the headers to pass on
+     * @param body the whole body
+     * @param requestId the id of the whole request
+     * @param context the token for the backend server's own calls
+     * @param traceParent the W3C trace parent, or an empty text
+     * @param deadline the deadline in nanoseconds of the node's monotonic clock
+     */
+    record Handover(
+            String callId,
+            String kind,
+            String path,
+            String method,
+            List<Header> headers,
+            byte[] body,
+            String requestId,
+            String context,
+            String traceParent,
+            long deadline) {}
+
+    /** How far a request got before it failed. */
+    enum FailureStage {
+        /** No byte was written. */
+        BEFORE_SENT,
+        /** Some of the request may have been delivered. */
+        AFTER_SENT,
+        /** The answer began and broke off. */
+        ANSWER_CUT,
+        /** The answer is over the size limit. */
+        ANSWER_TOO_LARGE,
+        /** No whole answer came in time. */
+        TIMED_OUT
+    }
+
+    /** Receives the end of a request. */
+    interface Listener {
+        /** Takes a whole answer. */
+        void answered(int status, List<Header> headers, byte[] body);
+
+        /** Takes a failure. */
+        void failed(FailureStage stage, String detail);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/CallContexts.java
@@ -0,0 +1,54 @@
+package org.plantainshunt.call;
+
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.plantainshunt.admission.Priority;
+import org.plantainshunt.retry.AllowanceLedger;
+
+/**
+ * The requests that run at the backend server, by the token that its own calls carry.
+ *
+ * <p>A token is known to this node and its backend server only, and ends with the request. Confined to the decision
+ * duty's thread.
+ */
+final class CallContexts {
+    private static final int TOKEN_BYTES = 16;
+
+    private final RandomGenerator random;
+    private final Map<String, Context> byToken = new HashMap<>();
+
+    CallContexts(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Adds a request and returns its token. */
+    String open(Context context) {
+        byte[] bytes = new byte[TOKEN_BYTES];
+        random.nextBytes(bytes);
+        String token = HexFormat.of().formatHex(bytes);
+        byToken.put(token, context);
+        return token;
+    }
+
+    Optional<Context> find(String token) {
+        return Optional.ofNullable(byToken.get(token));
+    }
+
+    void close(String token) {
+        byToken.remove(token);
+    }
+
+    /**
+     * What calls made for a request inherit from it.
+     *
+     * @param requestId the id of the whole request
+     * @param priority the priority of the whole request
+     * @param deadline the deadline, in nanoseconds of the node's monotonic clock
+     * @param ledger the allowance for retries that is left
+     */
+    record Context(String requestId, Priority priority, long deadline, AllowanceLedger ledger) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/CallReply.java
@@ -0,0 +1,43 @@
+package org.plantainshunt.call;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.plantainshunt.protocol.Header;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+
+/**
+ * What an entry node tells a caller.
+ *
+ * <p>Immutable but for the body, which nobody changes. Safe for use by any thread.
+ *
+ * @param code the result
+ * @param status the HTTP status
+ * @param headers the backend server's headers
+ * @param body the whole body of an answer, empty for a refusal
+ * @param refusal the refusal, unless there is an answer
+ * @param ticket the ticket that was issued or used
+ * @param retries the attempts made for this call beyond the first
+ */
+public record CallReply(
+        ResultCode code,
+        int status,
+        List<Header> headers,
+        byte[] body,
+        Optional<Refusal> refusal,
+        Optional<String> ticket,
+        int retries) {
+    private static final byte[] NO_BYTES = {};
+
+    static CallReply refused(Refusal refusal, Optional<String> ticket, int retries) {
+        return new CallReply(
+                refusal.code(),
+                refusal.code().httpStatus(),
+                List.of(),
+                NO_BYTES,
+                Optional.of(refusal),
+                ticket,
+                retries);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/Connections.java
@@ -0,0 +1,189 @@
+package org.plantainshunt.call;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.duty.Duty;
+import org.plantainshunt.protocol.InnerConnection;
+
+/**
+ * The connections from this node to others, one for each VM, opened on first use.
+ *
+ * <p>New connections are opened at a bounded rate, since each costs the other side about 1 ms and a recovering server
+ * would otherwise receive those of the whole fleet at once. After a failure the next attempt waits, longer each time.
+ * Confined to the decision duty's thread.
+ */
+final class Connections {
+    private static final int OPENED_PER_SECOND = 50;
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long FIRST_PAUSE = TimeUnit.MILLISECONDS.toNanos(200);
+    private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(3);
+
+    private final Opener opener;
+    private final Duty duty;
+    private final LongSupplier clock;
+    private final RandomGenerator random;
+    private final Consumer<Vm> onFailure;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Deque<Peer> waiting = new ArrayDeque<>();
+    private double openings = OPENED_PER_SECOND;
+    private long refilledAt;
+
+    Connections(Opener opener, Duty duty, LongSupplier clock, RandomGenerator random, Consumer<Vm> onFailure) {
+        this.opener = opener;
+        this.duty = duty;
+        this.clock = clock;
+        this.random = random;
+        this.onFailure = onFailure;
+        this.refilledAt = clock.getAsLong();
+    }
+
+    /** Calls {@code ready} with an open connection, or {@code failed} with the reason, now or later. */
+    void use(Vm vm, Consumer<InnerConnection> ready, Consumer<String> failed) {
+        Peer peer = peers.computeIfAbsent(vm.name(), name -> new Peer());
+        peer.move(vm);
+        if (peer.connection != null && peer.connection.isOpen()) {
+            ready.accept(peer.connection);
+            return;
+        }
+        long now = clock.getAsLong();
+        if (!peer.opening && now < peer.notBefore) {
+            failed.accept("the last connection to " + vm.name() + " failed less than a pause ago");
+            return;
+        }
+        peer.users.add(new User(ready, failed));
+        if (!peer.opening) {
+            peer.opening = true;
+            waiting.add(peer);
+            openWaiting(now);
+        }
+    }
+
+    /** Returns whether there is an open connection to the VM. */
+    boolean isOpen(String vm) {
+        Peer peer = peers.get(vm);
+        return peer != null && peer.connection != null && peer.connection.isOpen();
+    }
+
+    /** Opens connections that had to wait for the rate, and forgets VMs that are no longer listed. */
+    void tick(long now) {
+        openWaiting(now);
+    }
+
+    /** Closes the connections to VMs that are not in the list. */
+    void retain(List<Vm> listed) {
+        Map<String, Vm> byName = new HashMap<>();
+        listed.forEach(vm -> byName.put(vm.name(), vm));
+        Iterator<Map.Entry<String, Peer>> entries = peers.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<String, Peer> entry = entries.next();
+            if (byName.containsKey(entry.getKey()) || entry.getValue().opening) {
+                continue;
+            }
+            entry.getValue().close();
+            entries.remove();
+        }
+    }
+
+    private void openWaiting(long now) {
+        openings = Math.min(OPENED_PER_SECOND, openings + OPENED_PER_SECOND * (double) (now - refilledAt) / SECOND);
+        refilledAt = now;
+        while (openings >= 1 && !waiting.isEmpty()) {
+            openings--;
+            open(waiting.poll());
+        }
+    }
+
+    private void open(Peer peer) {
+        Vm vm = peer.vm;
+        opener.connect(vm.address(), vm.innerPort())
+                .whenComplete((connection, error) -> duty.submit(() -> {
+                    if (error == null && connection.peerVm().equals(vm.name())) {
+                        opened(peer, connection);
+                        return;
+                    }
+                    if (error == null) {
+                        connection.close();
+                    }
+                    String detail =
+                            error == null ? "another node answers there: " + connection.peerVm() : message(error);
+                    failed(peer, "no connection to " + vm.name() + ": " + detail);
+                }));
+    }
+
+    private static String message(Throwable error) {
+        Throwable cause = error.getCause() == null ? error : error.getCause();
+        return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+    }
+
+    private void opened(Peer peer, InnerConnection connection) {
+        peer.opening = false;
+        peer.pause = FIRST_PAUSE;
+        peer.connection = connection;
+        for (User user : peer.takeUsers()) {
+            user.ready().accept(connection);
+        }
+    }
+
+    private void failed(Peer peer, String detail) {
+        peer.opening = false;
+        // Half of the pause is random, so that nodes that lost the same server do not return together.
+        peer.notBefore = clock.getAsLong() + peer.pause / 2 + random.nextLong(peer.pause / 2 + 1);
+        peer.pause = Math.min(LONGEST_PAUSE, peer.pause * 2);
+        onFailure.accept(peer.vm);
+        for (User user : peer.takeUsers()) {
+            user.failed().accept(detail);
+        }
+    }
+
+    /** Opens a connection without blocking. */
+    @FunctionalInterface
+    interface Opener {
+        CompletableFuture<InnerConnection> connect(String address, int port);
+    }
+
+    private record User(Consumer<InnerConnection> ready, Consumer<String> failed) {}
+
+    /** The connection to one VM and those who wait for it. */
+    private static final class Peer {
+        private Vm vm;
+        private InnerConnection connection;
+        private boolean opening;
+        private long notBefore = Long.MIN_VALUE;
+        private long pause = FIRST_PAUSE;
+        private List<User> users = new ArrayList<>();
+
+        /** Takes over the VM's current address and drops a connection to its former one. */
+        void move(Vm current) {
+            if (vm != null && (!vm.address().equals(current.address()) || vm.innerPort() != current.innerPort())) {
+                close();
+                notBefore = Long.MIN_VALUE;
+            }
+            vm = current;
+        }
+
+        List<User> takeUsers() {
+            List<User> taken = users;
+            users = new ArrayList<>();
+            return taken;
+        }
+
+        void close() {
+            if (connection != null) {
+                connection.close();
+                connection = null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -0,0 +1,264 @@
+package org.plantainshunt.call;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import org.plantainshunt.admission.AdmissionQueue;
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Service;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.duty.Duty;
+import org.plantainshunt.execution.TicketTable;
+import org.plantainshunt.membership.Membership;
+import org.plantainshunt.protocol.AnswerListener;
+import org.plantainshunt.protocol.CallHandler;
+import org.plantainshunt.protocol.CallMessage;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.Greeting;
+import org.plantainshunt.protocol.InnerConnection;
+import org.plantainshunt.protocol.LoadReport;
+import org.plantainshunt.protocol.RefusalMessage;
+import org.plantainshunt.protocol.TicketListener;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.routing.BackendServerChoice;
+
+/**
+ * The decisions of a node: one thread owns the state of both its sides.
+ *
+ * <p>The entry side and the serving side share a thread, because a backend server's own calls take from the allowance
+ * of the request that it serves, and a call that stays on the VM needs no hand-over between threads. Safe for use by
+ * any thread.
+ */
+public final class Decisions implements CallHandler, AutoCloseable {
+    private static final int RING_SIZE = 16 * 1024;
+    private static final int TICKETS = 50_000;
+    private static final Duration TICK = Duration.ofMillis(5);
+
+    private final Duty duty;
+    private final LongSupplier clock;
+    private final Membership membership;
+    private final Connections connections;
+    private final ServingSide serving;
+    private final EntrySide entry;
+    private final LinkBudgets links;
+    private final TicketTable tickets;
+    private final Identity identity;
+    private Optional<Document> document = Optional.empty();
+    private VmList vmList;
+    private volatile Snapshot snapshot = Snapshot.EMPTY;
+
+    /** Starts the thread of the decisions. */
+    public Decisions(
+            Identity identity,
+            BackendServer backendServer,
+            Connector connector,
+            LongSupplier clock,
+            RandomGenerator random,
+            CallRecorder recorder,
+            HopTracer tracer) {
+        this.identity = identity;
+        this.clock = clock;
+        duty = new Duty("decisions", RING_SIZE, TICK, this::tick);
+        Environment environment = new Environment(duty, clock, recorder, tracer, new CallContexts(random));
+        links = new LinkBudgets(identity.dataCentre());
+        membership = new Membership(identity.dataCentre(), links::region, this::slots);
+        connections = new Connections(
+                connector::connect, duty, clock, random, vm -> membership.connectFailed(vm.name(), clock.getAsLong()));
+        tickets = new TicketTable(identity.vm(), identity.incarnation(), TICKETS, NoPolicy.POLICY, random);
+        serving = new ServingSide(identity, backendServer, environment, tickets, this::deeperLevels);
+        entry = new EntrySide(
+                identity.vm(), serving, environment, membership, connections, new BackendServerChoice(random), links);
+    }
+
+    /** Puts a configuration in force. */
+    public void configure(Document accepted) {
+        duty.submit(() -> {
+            document = Optional.of(accepted);
+            tickets.configure(accepted.policy());
+            serving.configure(accepted);
+            entry.configure(accepted);
+            membership.configurationChanged(clock.getAsLong());
+            shareLinks();
+        });
+    }
+
+    /** Takes a VM list. */
+    public void vmList(VmList list) {
+        duty.submit(() -> {
+            vmList = list;
+            membership.vmList(list, clock.getAsLong());
+            connections.retain(list.vms());
+            shareLinks();
+        });
+    }
+
+    /** Takes a caller's call, or returns false if the node is busy. */
+    public boolean call(InboundCall inbound, ReplyListener reply, Consumer<CancelHandle> cancellation) {
+        return duty.offer(() -> cancellation.accept(entry.call(inbound, reply)));
+    }
+
+    @Override
+    public CancelHandle call(String fromVm, CallMessage message, AnswerListener reply) {
+        long arrived = clock.getAsLong();
+        PendingCancel cancel = new PendingCancel();
+        boolean taken = duty.offer(() -> cancel.resolve(serving.call(fromVm, message, arrived, reply)));
+        if (!taken) {
+            Refusal refusal = Refusal.of(ResultCode.NODE_BUSY, "the ring of decisions is full");
+            LoadReport none = new LoadReport(0, 0, Map.of());
+            reply.refused(new RefusalMessage(refusal, message.allowance(), none, true));
+        }
+        return cancel;
+    }
+
+    @Override
+    public void ticket(String fromVm, String service, String kind, TicketListener reply) {
+        if (!duty.offer(() -> serving.ticket(kind, reply))) {
+            reply.refused(Refusal.of(ResultCode.NODE_BUSY, "the ring of decisions is full"));
+        }
+    }
+
+    /** Takes what a peer said of itself when it connected. */
+    public void greeted(Greeting greeting) {
+        duty.submit(() ->
+                membership.greeted(greeting.vm(), greeting.incarnation(), greeting.draining(), clock.getAsLong()));
+    }
+
+    /** Takes a peer's word that it is leaving. */
+    public void draining(String vm, long incarnation) {
+        duty.submit(() -> membership.draining(vm, incarnation, clock.getAsLong()));
+    }
+
+    /** Takes the loss of a connection, which counts only if no other one to the VM is open. */
+    public void disconnected(String vm) {
+        duty.submit(() -> {
+            if (!connections.isOpen(vm)) {
+                membership.disconnected(vm, clock.getAsLong());
+            }
+        });
+    }
+
+    /** Uses a connection to another node; the action never runs if the node cannot be reached. */
+    public void use(Vm vm, Consumer<InnerConnection> action) {
+        duty.offer(() -> connections.use(vm, action, failure -> {}));
+    }
+
+    /** Refuses new work of this node's backend server, or takes it again. */
+    public void drain(boolean leaving) {
+        duty.submit(() -> {
+            if (leaving) {
+                serving.drain();
+            } else {
+                serving.serve();
+            }
+        });
+    }
+
+    /** Returns what the node last looked like, at most a second ago. */
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
+    /** Returns the share of the ring that is in use, 0 to 1. */
+    public double fill() {
+        return duty.fill();
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void tick() {
+        if (entry == null) {
+            return;
+        }
+        long now = clock.getAsLong();
+        serving.tick(now);
+        entry.tick(now);
+        connections.tick(now);
+        if (now - snapshot.takenAt() >= Snapshot.EVERY) {
+            snapshot = takeSnapshot(now);
+        }
+    }
+
+    private Snapshot takeSnapshot(long now) {
+        Optional<AdmissionQueue> queue = serving.queue();
+        return new Snapshot(
+                now,
+                serving.draining(),
+                queue.map(AdmissionQueue::running).orElse(0),
+                queue.map(AdmissionQueue::waiting).orElse(0),
+                queue.map(AdmissionQueue::limit).orElse(0),
+                queue.map(AdmissionQueue::level).orElse(0),
+                serving.open(),
+                entry.open(),
+                tickets.size(),
+                Snapshot.upstreams(membership, document, now));
+    }
+
+    private Map<String, Integer> deeperLevels() {
+        return entry.levels();
+    }
+
+    private int slots(String service) {
+        return document.flatMap(known -> known.service(service))
+                .map(Service::slots)
+                .orElse(1);
+    }
+
+    private void shareLinks() {
+        if (vmList == null || document.isEmpty()) {
+            return;
+        }
+        Optional<String> own = links.region(identity.dataCentre());
+        long nodes = vmList.vms().stream()
+                .filter(vm -> own.isPresent() && links.region(vm.dataCentre()).equals(own))
+                .count();
+        links.share((int) nodes);
+    }
+
+    /** Opens connections to other nodes without blocking. */
+    @FunctionalInterface
+    public interface Connector {
+        /** Returns a connection, or fails with the reason. */
+        CompletableFuture<InnerConnection> connect(String address, int port);
+    }
+
+    /**
+     * Which node this is.
+     *
+     * @param vm the name of the VM
+     * @param service the service of its backend server
+     * @param dataCentre the data centre it stands in
+     * @param incarnation a number that no other process has
+     */
+    public record Identity(String vm, String service, String dataCentre, long incarnation) {}
+
+    /** Cancels a call that may not have reached the decisions yet. */
+    private static final class PendingCancel implements CancelHandle {
+        private CancelHandle target;
+        private boolean cancelled;
+
+        synchronized void resolve(CancelHandle resolved) {
+            target = resolved;
+            if (cancelled) {
+                resolved.cancel();
+            }
+        }
+
+        @Override
+        public synchronized void cancel() {
+            cancelled = true;
+            if (target != null) {
+                target.cancel();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -0,0 +1,611 @@
+package org.plantainshunt.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainshunt.admission.Priority;
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.Outcall;
+import org.plantainshunt.configuration.Policy;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.execution.Ticket;
+import org.plantainshunt.membership.Membership;
+import org.plantainshunt.protocol.AnswerListener;
+import org.plantainshunt.protocol.AnswerMessage;
+import org.plantainshunt.protocol.CallMessage;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.InnerConnection;
+import org.plantainshunt.protocol.LoadReport;
+import org.plantainshunt.protocol.RefusalMessage;
+import org.plantainshunt.protocol.TicketListener;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
+import org.plantainshunt.retry.AttemptAllowance;
+import org.plantainshunt.retry.RetryBudget;
+import org.plantainshunt.retry.Share;
+import org.plantainshunt.routing.BackendServerChoice;
+import org.plantainshunt.routing.Distance;
+import org.plantainshunt.routing.DownstreamLevels;
+import org.plantainshunt.routing.Upstream;
+import org.plantainshunt.routing.UpstreamEnd;
+
+/**
+ * Decides for the calls that enter the system at this node: early refusal, choice of the backend server, retries.
+ *
+ * <p>Each call gets exactly one reply. A call is tried again only within its allowance and the node's budget, and only
+ * where the earlier attempt did not run or may run twice. A call with a ticket is never tried elsewhere, and "not run"
+ * is passed on for it only where the issuing process has made the ticket void. Confined to the decision duty's thread.
+ */
+public final class EntrySide {
+    /** Time past the deadline in which the serving node's own verdict, which knows more, may still arrive. */
+    private static final long VERDICT_GRACE = TimeUnit.MILLISECONDS.toNanos(150);
+
+    private static final long HEADER_BYTES = 512;
+
+    /** Refusals for which the ticket table has made the ticket void, so that "not run" holds for good. */
+    private static final Set<ResultCode> VOIDING = Set.of(
+            ResultCode.OVERLOADED,
+            ResultCode.DEADLINE_TOO_SHORT,
+            ResultCode.DRAINING,
+            ResultCode.CANCELLED_BEFORE_RUN,
+            ResultCode.TICKET_VOID,
+            ResultCode.CONNECT_FAILED);
+
+    private final String ownVm;
+    private final ServingSide serving;
+    private final Environment environment;
+    private final Membership membership;
+    private final Connections connections;
+    private final BackendServerChoice choice;
+    private final LinkBudgets links;
+    private Optional<Document> document = Optional.empty();
+    private final Map<Long, EntryCall> calls = new HashMap<>();
+    private final Map<Kind, Integer> callsBelow = new HashMap<>();
+    private final DownstreamLevels levels =
+            new DownstreamLevels((service, kind) -> document.flatMap(known -> known.kind(service, kind)));
+    private RetryBudget retryBudget = new RetryBudget(0);
+    private double retryRatio;
+    private long nextCall;
+
+    EntrySide(
+            String ownVm,
+            ServingSide serving,
+            Environment environment,
+            Membership membership,
+            Connections connections,
+            BackendServerChoice choice,
+            LinkBudgets links) {
+        this.ownVm = ownVm;
+        this.serving = serving;
+        this.environment = environment;
+        this.membership = membership;
+        this.connections = connections;
+        this.choice = choice;
+        this.links = links;
+    }
+
+    /** Puts a configuration in force. */
+    void configure(Document accepted) {
+        document = Optional.of(accepted);
+        callsBelow.clear();
+        double ratio = accepted.policy().retryBudget();
+        if (ratio != retryRatio) {
+            retryRatio = ratio;
+            retryBudget = new RetryBudget(ratio);
+        }
+        links.configure(accepted);
+    }
+
+    /** Takes a call; returns a handle for a caller that goes away. */
+    CancelHandle call(InboundCall inbound, ReplyListener reply) {
+        EntryCall call = new EntryCall(nextCall++, inbound, reply);
+        calls.put(call.id, call);
+        call.hop = environment.tracer().begin("entry", inbound.service(), inbound.kind(), inbound.traceParent());
+        Optional<Refusal> problem = prepare(call);
+        if (problem.isPresent()) {
+            refuse(call, problem.get());
+            return () -> {};
+        }
+        retryBudget.attempted(environment.now());
+        route(call);
+        return () -> environment.duty().submit(() -> cancel(call));
+    }
+
+    /** Ends calls whose time is over. */
+    void tick(long now) {
+        for (EntryCall call : new ArrayList<>(calls.values())) {
+            if (now >= call.deadline + VERDICT_GRACE) {
+                timeOut(call);
+            }
+        }
+    }
+
+    Map<String, Integer> levels() {
+        return levels.levels(environment.now());
+    }
+
+    /** Returns the number of calls without a reply. */
+    int open() {
+        return calls.size();
+    }
+
+    /** Returns the number of calls declared in the whole tree below a kind. */
+    private int callsBelow(Kind kind) {
+        Integer known = callsBelow.get(kind);
+        if (known != null) {
+            return known;
+        }
+        int sum = 0;
+        for (Outcall outcall : kind.calls()) {
+            Optional<Kind> next = document.flatMap(current -> current.kind(outcall.service(), outcall.kind()));
+            sum += outcall.count() * (1 + (next.isPresent() ? callsBelow(next.get()) : 0));
+        }
+        callsBelow.put(kind, sum);
+        return sum;
+    }
+
+    private Optional<Refusal> prepare(EntryCall call) {
+        InboundCall inbound = call.inbound;
+        if (document.isEmpty()) {
+            return refusal(ResultCode.NOT_READY, "the node has no configuration yet");
+        }
+        if (document.get().service(inbound.service()).isEmpty()) {
+            return refusal(ResultCode.UNKNOWN_SERVICE, "no service " + inbound.service());
+        }
+        Optional<Kind> kind = document.get().kind(inbound.service(), inbound.kind());
+        if (kind.isEmpty()) {
+            return refusal(ResultCode.UNKNOWN_KIND, "no kind " + inbound.kind() + " of service " + inbound.service());
+        }
+        call.kind = kind.get();
+        long longest = call.kind.deadline().toNanos();
+        long asked = TimeUnit.MILLISECONDS.toNanos(
+                inbound.deadlineMilliseconds().orElse(call.kind.deadline().toMillis()));
+        call.deadline = inbound.arrived() + Math.min(longest, asked);
+        return inbound.fromBackendServer() ? inherit(call) : begin(call);
+    }
+
+    /** Prepares a call that a backend server makes: it belongs to the request that runs there. */
+    private Optional<Refusal> inherit(EntryCall call) {
+        Optional<CallContexts.Context> context = call.inbound.context().flatMap(environment.contexts()::find);
+        if (context.isEmpty()) {
+            // Without its context a call cannot share the request's allowance, so it gets none.
+            call.priority = rootPriority(call);
+            call.allow(new Share(0, false), callsBelow(call.kind));
+            return Optional.empty();
+        }
+        call.parent = context;
+        call.requestId = context.get().requestId();
+        call.priority = context.get().priority();
+        call.deadline = Math.min(call.deadline, context.get().deadline());
+        if (needsTicket(call)) {
+            // Asking for a ticket runs nothing, so it takes nothing from the request's declared calls.
+            call.parent = Optional.empty();
+            call.allow(new Share(0, false), callsBelow(call.kind));
+            return Optional.empty();
+        }
+        Optional<Share> share = context.get().ledger().take(call.kind.service(), call.kind.name());
+        if (share.isEmpty()) {
+            call.parent = Optional.empty();
+            return refusal(ResultCode.RETRY_BOUND_REACHED, "the request has made its calls and spent its retries");
+        }
+        call.allow(share.get(), callsBelow(call.kind));
+        return Optional.empty();
+    }
+
+    /** Prepares a call from an outside caller; its repeats count against the same bound. */
+    private Optional<Refusal> begin(EntryCall call) {
+        Policy policy = document.orElseThrow().policy();
+        int repeats = call.inbound.attempt() - 1;
+        call.priority = rootPriority(call);
+        call.allow(new Share(Math.max(0, policy.retriesPerRequest() - repeats), false), callsBelow(call.kind));
+        if (repeats == 0 || call.inbound.ticket().isPresent()) {
+            return Optional.empty();
+        }
+        if (repeats > policy.retriesPerRequest()) {
+            return refusal(ResultCode.RETRY_BOUND_REACHED, "attempt " + call.inbound.attempt() + " of the caller");
+        }
+        if (!retryBudget.tryRetry(environment.now())) {
+            return refusal(ResultCode.RETRY_BOUND_REACHED, "the node's budget for retries is spent");
+        }
+        return Optional.empty();
+    }
+
+    private static Priority rootPriority(EntryCall call) {
+        return Priority.of(call.kind.priorityClass(), Priority.cohortOf(call.inbound.requestId()));
+    }
+
+    private static Optional<Refusal> refusal(ResultCode code, String detail) {
+        return Optional.of(Refusal.of(code, detail));
+    }
+
+    private void route(EntryCall call) {
+        if (call.inbound.ticket().isPresent() && call.kind.atMostOnce()) {
+            useTicket(call);
+            return;
+        }
+        Optional<Refusal> early = levels.check(call.kind, call.priority.value(), environment.now());
+        if (early.isPresent()) {
+            refuse(call, early.get());
+            return;
+        }
+        dispatch(call, call.allowance.firstAttempt());
+    }
+
+    private void useTicket(EntryCall call) {
+        String ticket = call.inbound.ticket().orElseThrow();
+        Optional<Upstream> upstream = Ticket.parse(ticket).flatMap(parsed -> membership.upstream(parsed.node()));
+        if (upstream.isEmpty()) {
+            refuse(call, Refusal.of(ResultCode.OUTCOME_UNKNOWN, "the VM that issued the ticket is not known here"));
+            return;
+        }
+        send(call, upstream.get(), call.allowance.firstAttempt());
+    }
+
+    private void dispatch(EntryCall call, Share share) {
+        long now = environment.now();
+        if (now >= call.deadline) {
+            refuse(call, Refusal.of(ResultCode.DEADLINE_TOO_SHORT, "the deadline passed before a server was chosen"));
+            return;
+        }
+        boolean linkFull = false;
+        while (true) {
+            List<Upstream> usable = membership.usable(call.kind.service(), now);
+            Optional<Upstream> chosen = choice.choose(usable, call.excluded, call.priority.priorityClass(), now);
+            if (chosen.isEmpty()) {
+                refuse(call, noServer(call, linkFull));
+                return;
+            }
+            if (linkAllows(call, chosen.get(), now)) {
+                send(call, chosen.get(), share);
+                return;
+            }
+            linkFull = true;
+            call.excluded.add(chosen.get().vm().name());
+        }
+    }
+
+    private Refusal noServer(EntryCall call, boolean linkFull) {
+        if (call.lastRefusal.isPresent()) {
+            return call.lastRefusal.get();
+        }
+        return linkFull
+                ? Refusal.of(ResultCode.LINK_BUDGET_SPENT, "only servers in another region are left")
+                : Refusal.of(ResultCode.NO_BACKEND_SERVER, "no usable backend server of " + call.kind.service());
+    }
+
+    private boolean linkAllows(EntryCall call, Upstream upstream, long now) {
+        if (upstream.distance() != Distance.OTHER_REGION) {
+            return true;
+        }
+        long bytes = call.inbound.body().length + HEADER_BYTES;
+        return links.tryTake(upstream.vm().dataCentre(), call.priority.priorityClass(), bytes, now);
+    }
+
+    private void send(EntryCall call, Upstream upstream, Share share) {
+        Attempt attempt = new Attempt(call, upstream, share);
+        call.attempt = attempt;
+        upstream.started(attempt.id, environment.now());
+        Vm vm = upstream.vm();
+        if (needsTicket(call)) {
+            requestTicket(attempt);
+            return;
+        }
+        if (vm.name().equals(ownVm)) {
+            attempt.sent = true;
+            attempt.handle = serving.call(ownVm, message(attempt), call.inbound.arrived(), attempt);
+            return;
+        }
+        connections.use(vm, connection -> sendOver(attempt, connection), attempt::notConnected);
+    }
+
+    private static boolean needsTicket(EntryCall call) {
+        return call.kind.atMostOnce() && call.inbound.ticket().isEmpty();
+    }
+
+    private void sendOver(Attempt attempt, InnerConnection connection) {
+        EntryCall call = attempt.call;
+        if (call.attempt != attempt) {
+            return;
+        }
+        attempt.sent = true;
+        attempt.handle = connection.call(message(attempt), attempt.onDuty());
+    }
+
+    private CallMessage message(Attempt attempt) {
+        EntryCall call = attempt.call;
+        InboundCall inbound = call.inbound;
+        long left = Math.max(0, TimeUnit.NANOSECONDS.toMillis(call.deadline - environment.now()));
+        return new CallMessage(
+                call.kind.service(),
+                call.kind.name(),
+                inbound.path(),
+                inbound.method(),
+                inbound.headers(),
+                inbound.body(),
+                call.requestId,
+                call.priority.value(),
+                left,
+                attempt.share.allowance(),
+                inbound.ticket(),
+                call.hop.traceParent(),
+                document.map(known -> known.version().number()).orElse(0L));
+    }
+
+    private void requestTicket(Attempt attempt) {
+        EntryCall call = attempt.call;
+        Vm vm = attempt.upstream.vm();
+        TicketReply reply = new TicketReply(attempt);
+        if (vm.name().equals(ownVm)) {
+            serving.ticket(call.kind.name(), reply);
+            return;
+        }
+        connections.use(
+                vm,
+                connection -> connection.requestTicket(call.kind.service(), call.kind.name(), reply),
+                attempt::notConnected);
+    }
+
+    private void answered(Attempt attempt, AnswerMessage answer) {
+        EntryCall call = attempt.call;
+        if (!end(attempt, UpstreamEnd.ANSWERED, answer.load(), OptionalInt.of(answer.unusedAllowance()))) {
+            return;
+        }
+        reply(
+                call,
+                new CallReply(
+                        answer.code(),
+                        answer.status(),
+                        answer.headers(),
+                        answer.body(),
+                        Optional.empty(),
+                        call.inbound.ticket(),
+                        call.retries));
+    }
+
+    private void refused(Attempt attempt, RefusalMessage message) {
+        EntryCall call = attempt.call;
+        Refusal refusal = message.refusal();
+        UpstreamEnd end = message.fromServingNode() && refusal.code().runState() == RunState.NOT_RUN
+                ? UpstreamEnd.REFUSED
+                : UpstreamEnd.FAILED;
+        // A share whose end is not known counts as spent.
+        OptionalInt unused = message.fromServingNode() || refusal.code().runState() == RunState.NOT_RUN
+                ? OptionalInt.of(message.unusedAllowance())
+                : OptionalInt.empty();
+        if (!end(attempt, end, message.load(), unused)) {
+            return;
+        }
+        if (refusal.code() == ResultCode.DRAINING) {
+            Upstream upstream = attempt.upstream;
+            membership.draining(upstream.vm().name(), upstream.incarnation(), environment.now());
+        }
+        if (call.inbound.ticket().isPresent() && call.kind.atMostOnce()) {
+            refuseFinally(call, honest(refusal, message.fromServingNode()));
+            return;
+        }
+        call.lastRefusal = Optional.of(refusal);
+        Optional<Share> share = tryAgain(call, refusal);
+        if (share.isEmpty()) {
+            refuse(call, refusal);
+            return;
+        }
+        call.retries++;
+        call.excluded.add(attempt.upstream.vm().name());
+        dispatch(call, share.get());
+    }
+
+    /** Returns the refusal of a call with a ticket, with "not run" only where the ticket can never run any more. */
+    private static Refusal honest(Refusal refusal, boolean fromServingNode) {
+        if (refusal.code().runState() != RunState.NOT_RUN) {
+            return refusal;
+        }
+        if (fromServingNode && VOIDING.contains(refusal.code())) {
+            return refusal;
+        }
+        String detail = "an earlier delivery of the ticket may have run; this one met "
+                + refusal.code().number() + " " + refusal.detail();
+        return new Refusal(ResultCode.OUTCOME_UNKNOWN, detail, refusal.retryAfterMilliseconds());
+    }
+
+    /** Takes a retry from the node's budget and the call's allowance, if both and the refusal permit one. */
+    private Optional<Share> tryAgain(EntryCall call, Refusal refusal) {
+        boolean lost = refusal.code() == ResultCode.OUTCOME_UNKNOWN || refusal.code() == ResultCode.ANSWER_CUT;
+        boolean harmless = refusal.code().retryElsewhere() || lost && !call.kind.atMostOnce();
+        long now = environment.now();
+        if (!harmless || call.allowance.remaining() == 0 || now >= call.deadline || !retryBudget.tryRetry(now)) {
+            return Optional.empty();
+        }
+        call.mayHaveRun |= lost;
+        return call.allowance.retry(call.mayHaveRun);
+    }
+
+    /** Ends an attempt and returns whether the call still waited for it. */
+    private boolean end(Attempt attempt, UpstreamEnd end, LoadReport load, OptionalInt unusedAllowance) {
+        long now = environment.now();
+        attempt.finish(end, now);
+        String vm = attempt.upstream.vm().name();
+        attempt.upstream.reported(load.inFlight(), load.queued(), now);
+        load.levels().forEach((service, level) -> levels.report(vm, service, level, now));
+        EntryCall call = attempt.call;
+        if (call.attempt != attempt || call.done) {
+            return false;
+        }
+        call.attempt = null;
+        unusedAllowance.ifPresent(unused -> call.allowance.giveBack(attempt.share, unused));
+        return true;
+    }
+
+    private void timeOut(EntryCall call) {
+        Attempt attempt = call.attempt;
+        if (attempt == null || !attempt.sent) {
+            refuse(call, Refusal.of(ResultCode.DEADLINE_TOO_SHORT, "the deadline passed before the request was sent"));
+            return;
+        }
+        attempt.cancel();
+        refuse(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no verdict of the serving node in time"));
+    }
+
+    private void cancel(EntryCall call) {
+        if (call.done) {
+            return;
+        }
+        Attempt attempt = call.attempt;
+        if (attempt != null && attempt.sent) {
+            attempt.cancel();
+        }
+        refuse(call, Refusal.of(ResultCode.CANCELLED_RUNNING, "the caller went away"));
+    }
+
+    /** Refuses a call by this node's own decision, which says nothing about earlier deliveries of its ticket. */
+    private void refuse(EntryCall call, Refusal refusal) {
+        refuseFinally(call, call.inbound.ticket().isPresent() ? honest(refusal, false) : refusal);
+    }
+
+    private void refuseFinally(EntryCall call, Refusal refusal) {
+        reply(call, CallReply.refused(refusal, call.inbound.ticket(), call.retries));
+    }
+
+    private void reply(EntryCall call, CallReply reply) {
+        if (call.done) {
+            return;
+        }
+        call.done = true;
+        calls.remove(call.id);
+        call.parent.ifPresent(parent -> parent.ledger().giveBack(call.share, call.allowance.remaining()));
+        if (call.attempt != null) {
+            call.attempt.finish(UpstreamEnd.CANCELLED, environment.now());
+        }
+        call.hop.end(call.requestId, reply.code());
+        environment.recorder().replied(call.inbound, reply, environment.now());
+        call.reply.replied(reply);
+    }
+
+    /** A call from its arrival to its reply. */
+    private static final class EntryCall {
+        private final long id;
+        private final InboundCall inbound;
+        private final ReplyListener reply;
+        private final Set<String> excluded = new HashSet<>();
+        private Kind kind;
+        private Priority priority;
+        private String requestId;
+        private long deadline;
+        private Share share;
+        private AttemptAllowance allowance;
+        private boolean mayHaveRun;
+        private int retries;
+        private boolean done;
+        private Attempt attempt;
+        private HopTracer.Hop hop;
+        private Optional<CallContexts.Context> parent = Optional.empty();
+        private Optional<Refusal> lastRefusal = Optional.empty();
+
+        EntryCall(long id, InboundCall inbound, ReplyListener reply) {
+            this.id = id;
+            this.inbound = inbound;
+            this.reply = reply;
+            this.requestId = inbound.requestId();
+            this.deadline = Long.MAX_VALUE / 2;
+        }
+
+        void allow(Share given, int callsBelow) {
+            share = given;
+            allowance = new AttemptAllowance(given, callsBelow);
+        }
+    }
+
+    /** One attempt of a call at one backend server. */
+    private final class Attempt implements AnswerListener {
+        private final long id = nextCall++;
+        private final EntryCall call;
+        private final Upstream upstream;
+        private CancelHandle handle = () -> {};
+        private final Share share;
+        private boolean sent;
+        private boolean finished;
+
+        Attempt(EntryCall call, Upstream upstream, Share share) {
+            this.call = call;
+            this.upstream = upstream;
+            this.share = share;
+        }
+
+        @Override
+        public void answered(AnswerMessage message) {
+            EntrySide.this.answered(this, message);
+        }
+
+        @Override
+        public void refused(RefusalMessage message) {
+            EntrySide.this.refused(this, message);
+        }
+
+        /** Returns a listener that event loops may call. */
+        AnswerListener onDuty() {
+            return new AnswerListener() {
+                @Override
+                public void answered(AnswerMessage message) {
+                    environment.duty().submit(() -> EntrySide.this.answered(Attempt.this, message));
+                }
+
+                @Override
+                public void refused(RefusalMessage message) {
+                    environment.duty().submit(() -> EntrySide.this.refused(Attempt.this, message));
+                }
+            };
+        }
+
+        void notConnected(String detail) {
+            LoadReport none = new LoadReport(0, 0, Map.of());
+            refused(new RefusalMessage(Refusal.of(ResultCode.CONNECT_FAILED, detail), share.allowance(), none, false));
+        }
+
+        void cancel() {
+            handle.cancel();
+        }
+
+        void finish(UpstreamEnd end, long now) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            upstream.ended(id, end, now);
+        }
+    }
+
+    /** Turns a granted ticket into the reply that carries it. */
+    private final class TicketReply implements TicketListener {
+        private final Attempt attempt;
+
+        TicketReply(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void granted(String ticket) {
+            environment.duty().submit(() -> {
+                attempt.finish(UpstreamEnd.CANCELLED, environment.now());
+                EntryCall call = attempt.call;
+                Refusal refusal = Refusal.of(ResultCode.TICKET_REQUIRED, "repeat the request with this ticket");
+                reply(call, CallReply.refused(refusal, Optional.of(ticket), call.retries));
+            });
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            LoadReport none = new LoadReport(0, 0, Map.of());
+            environment
+                    .duty()
+                    .submit(() -> EntrySide.this.refused(attempt, new RefusalMessage(refusal, 0, none, true)));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/Environment.java
@@ -0,0 +1,22 @@
+package org.plantainshunt.call;
+
+import java.util.function.LongSupplier;
+
+import org.plantainshunt.duty.Duty;
+
+/**
+ * What the two sides of the decisions share.
+ *
+ * <p>The parts are confined to the decision duty's thread, except the duty itself.
+ *
+ * @param duty the decision duty
+ * @param clock a monotonic clock in nanoseconds
+ * @param recorder receives what was decided
+ * @param tracer makes a span for each hop
+ * @param contexts the requests that run at the backend server
+ */
+record Environment(Duty duty, LongSupplier clock, CallRecorder recorder, HopTracer tracer, CallContexts contexts) {
+    long now() {
+        return clock.getAsLong();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -0,0 +1,477 @@
+package org.plantainshunt.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.plantainshunt.admission.Admission;
+import org.plantainshunt.admission.AdmissionQueue;
+import org.plantainshunt.admission.CallEnd;
+import org.plantainshunt.admission.CallEntry;
+import org.plantainshunt.admission.Priority;
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.Service;
+import org.plantainshunt.execution.Outcome;
+import org.plantainshunt.execution.Ticket;
+import org.plantainshunt.execution.TicketTable;
+import org.plantainshunt.execution.TicketUse;
+import org.plantainshunt.protocol.AnswerListener;
+import org.plantainshunt.protocol.AnswerMessage;
+import org.plantainshunt.protocol.CallMessage;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.Header;
+import org.plantainshunt.protocol.LoadReport;
+import org.plantainshunt.protocol.RefusalMessage;
+import org.plantainshunt.protocol.TicketListener;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.RefusedException;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.retry.AllowanceLedger;
+
+/**
+ * Decides what the backend server beside this node runs, in which order, and when it is given up.
+ *
+ * <p>A request of a kind that runs at most once is handed over only when the ticket table says START, and each refusal
+ * of such a request before its hand-over is first recorded there, so that "not run" stays true. Deadline and
+ * cancellation are checked immediately before the hand-over. Confined to the decision duty's thread.
+ */
+public final class ServingSide {
+    /** The header by which a backend server says that it shed a request. */
+    static final String SHED_HEADER = "Plantainshunt-Shed";
+
+    private static final int STATUS_TOO_MANY_REQUESTS = 429;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final String serviceName;
+    private final String callIdPrefix;
+    private final BackendServer backendServer;
+    private final Environment environment;
+    private final TicketTable tickets;
+    private final Supplier<Map<String, Integer>> deeperLevels;
+    private final Map<CallEntry, ServedCall> calls = new HashMap<>();
+    private final Map<String, ServedCall> byTicket = new HashMap<>();
+    private Optional<Document> document = Optional.empty();
+    private AdmissionQueue queue;
+    private boolean draining;
+    private long nextCall;
+
+    ServingSide(
+            Decisions.Identity identity,
+            BackendServer backendServer,
+            Environment environment,
+            TicketTable tickets,
+            Supplier<Map<String, Integer>> deeperLevels) {
+        this.serviceName = identity.service();
+        this.callIdPrefix = Long.toHexString(identity.incarnation()) + "-";
+        this.backendServer = backendServer;
+        this.environment = environment;
+        this.tickets = tickets;
+        this.deeperLevels = deeperLevels;
+    }
+
+    /** Puts a configuration in force; calls that run go on under their old limits. */
+    void configure(Document accepted) {
+        document = Optional.of(accepted);
+        Optional<Service> service = accepted.service(serviceName);
+        if (service.isEmpty()) {
+            return;
+        }
+        if (queue == null) {
+            queue = new AdmissionQueue(service.get(), this::refusedByQueue);
+            return;
+        }
+        queue.configure(service.get());
+        startReady(environment.now());
+    }
+
+    /** Takes a call from an entry node, which may be this one. */
+    CancelHandle call(String fromVm, CallMessage message, long arrived, AnswerListener reply) {
+        long now = environment.now();
+        Optional<Kind> kind = document.flatMap(known -> known.kind(message.service(), message.kind()));
+        Optional<Refusal> problem = problem(message, kind);
+        if (problem.isPresent()) {
+            refuse(reply, problem.get(), message.allowance());
+            return () -> {};
+        }
+        long deadline = arrived + TimeUnit.MILLISECONDS.toNanos(message.deadlineMilliseconds());
+        ServedCall call = new ServedCall(message, kind.get(), entry(message, kind.get(), deadline, arrived), reply);
+        if (kind.get().atMostOnce() && !beginTicket(call, now)) {
+            return () -> cancelWaiter(message.ticket().orElse(""), reply);
+        }
+        calls.put(call.entry, call);
+        if (queue.offer(call.entry, now) == Admission.START) {
+            start(call, now);
+        }
+        startReady(now);
+        return () -> environment.duty().submit(() -> cancel(call));
+    }
+
+    /** Issues a ticket of this process. */
+    void ticket(String kind, TicketListener reply) {
+        if (queue == null
+                || document.flatMap(known -> known.kind(serviceName, kind)).isEmpty()) {
+            reply.refused(Refusal.of(ResultCode.UNKNOWN_KIND, "no kind " + kind + " of service " + serviceName));
+            return;
+        }
+        if (draining) {
+            reply.refused(Refusal.of(ResultCode.DRAINING, "the backend server is leaving"));
+            return;
+        }
+        try {
+            Ticket ticket = tickets.issue(serviceName, kind, environment.now());
+            reply.granted(ticket.toString());
+        } catch (RefusedException e) {
+            reply.refused(e.refusal());
+        }
+    }
+
+    /** Refuses new and waiting calls from now on; calls that run go on. */
+    void drain() {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        tickets.stopIssuing();
+        if (queue != null) {
+            queue.drain();
+        }
+    }
+
+    /** Takes new calls again, after a drain that the backend server withdrew. */
+    void serve() {
+        draining = false;
+        tickets.resumeIssuing();
+        if (queue != null) {
+            queue.serve();
+        }
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /** Starts calls that may start, gives up those past their deadline, and stops long work that holds short work. */
+    void tick(long now) {
+        if (queue == null) {
+            return;
+        }
+        startReady(now);
+        for (CallEntry entry : queue.overlong(now)) {
+            ServedCall call = calls.get(entry);
+            if (call != null && call.handedOver) {
+                giveUp(call, Refusal.of(ResultCode.RAN_TOO_LONG, "long work stopped while short work waits"), now);
+            }
+        }
+        for (ServedCall call : new ArrayList<>(calls.values())) {
+            if (call.handedOver && !call.replied && now >= call.entry.deadline()) {
+                giveUp(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no whole answer in time"), now);
+            }
+        }
+    }
+
+    /** Returns what travels back with each answer and refusal. */
+    LoadReport load() {
+        Map<String, Integer> levels = new HashMap<>(deeperLevels.get());
+        if (queue == null) {
+            return new LoadReport(0, 0, levels);
+        }
+        levels.put(serviceName, queue.level());
+        return new LoadReport(queue.running(), queue.waiting(), levels);
+    }
+
+    Optional<AdmissionQueue> queue() {
+        return Optional.ofNullable(queue);
+    }
+
+    /** Returns the number of calls that wait or run. */
+    int open() {
+        return calls.size();
+    }
+
+    private Optional<Refusal> problem(CallMessage message, Optional<Kind> kind) {
+        if (document.isEmpty()) {
+            return Optional.of(Refusal.of(ResultCode.NOT_READY, "no configuration at the serving node"));
+        }
+        if (!message.service().equals(serviceName) || queue == null) {
+            return Optional.of(Refusal.of(ResultCode.UNKNOWN_SERVICE, "this node serves " + serviceName));
+        }
+        if (kind.isEmpty()) {
+            return Optional.of(Refusal.of(ResultCode.UNKNOWN_KIND, "no kind " + message.kind()));
+        }
+        if (kind.get().atMostOnce() && message.ticket().isEmpty()) {
+            return Optional.of(Refusal.of(ResultCode.TICKET_REQUIRED, "the call carries no ticket"));
+        }
+        return Optional.empty();
+    }
+
+    private CallEntry entry(CallMessage message, Kind kind, long deadline, long arrived) {
+        String id = callIdPrefix + nextCall++;
+        return new CallEntry(
+                id, Priority.ofValue(message.priority()), kind.name(), kind.atMostOnce(), deadline, arrived);
+    }
+
+    /** Returns whether the call may go on to the queue; otherwise it was answered or waits for a running one. */
+    private boolean beginTicket(ServedCall call, long now) {
+        String ticket = call.message.ticket().orElseThrow();
+        TicketUse use = tickets.begin(ticket, serviceName, call.kind.name(), now);
+        switch (use.decision()) {
+            case START:
+                byTicket.put(ticket, call);
+                return true;
+            case JOIN:
+                byTicket.get(ticket).waiters.add(call.waiters.get(0));
+                return false;
+            case REPLAY:
+                replay(call, use.outcome().orElseThrow());
+                return false;
+            default:
+                refuse(call.waiters.get(0), use.refusal().orElseThrow(), call.message.allowance());
+                return false;
+        }
+    }
+
+    private void replay(ServedCall call, Outcome outcome) {
+        List<Header> headers = new ArrayList<>();
+        for (String line : outcome.headerLines()) {
+            int colon = line.indexOf(':');
+            headers.add(new Header(line.substring(0, colon), line.substring(colon + 1)));
+        }
+        call.waiters
+                .get(0)
+                .answered(new AnswerMessage(
+                        ResultCode.ANSWERED_AGAIN,
+                        outcome.status(),
+                        headers,
+                        outcome.body(),
+                        call.message.allowance(),
+                        load()));
+    }
+
+    private void startReady(long now) {
+        for (CallEntry entry : queue.startable(now)) {
+            ServedCall call = calls.get(entry);
+            if (call != null) {
+                start(call, now);
+            }
+        }
+    }
+
+    private void start(ServedCall call, long now) {
+        if (now >= call.entry.deadline()) {
+            queue.finished(call.entry, CallEnd.CANCELLED, now);
+            refusedBeforeHandover(
+                    call, Refusal.of(ResultCode.DEADLINE_TOO_SHORT, "the deadline passed before the hand-over"), now);
+            return;
+        }
+        CallMessage message = call.message;
+        call.handedOver = true;
+        call.hop = environment.tracer().begin("serving", message.service(), message.kind(), message.traceParent());
+        call.ledger = new AllowanceLedger(message.allowance(), call.kind.calls());
+        call.context = environment
+                .contexts()
+                .open(new CallContexts.Context(
+                        message.requestId(), call.entry.priority(), call.entry.deadline(), call.ledger));
+        environment.recorder().started(call.entry, message, now);
+        BackendServer.Handover handover = new BackendServer.Handover(
+                call.entry.id(),
+                message.kind(),
+                message.path(),
+                message.method(),
+                message.headers(),
+                message.body(),
+                message.requestId(),
+                call.context,
+                call.hop.traceParent(),
+                call.entry.deadline());
+        backendServer.send(handover, new EndListener(call));
+    }
+
+    private void cancel(ServedCall call) {
+        long now = environment.now();
+        if (call.replied || !calls.containsKey(call.entry)) {
+            return;
+        }
+        if (!call.handedOver && queue.cancel(call.entry, now)) {
+            refusedBeforeHandover(call, Refusal.of(ResultCode.CANCELLED_BEFORE_RUN, "cancelled while it waited"), now);
+            return;
+        }
+        // Work that runs at most once is left to finish, so that a repeat of the ticket gets its outcome.
+        if (call.handedOver && !call.kind.atMostOnce()) {
+            giveUp(call, Refusal.of(ResultCode.CANCELLED_RUNNING, "cancelled after the hand-over"), now);
+        }
+    }
+
+    private void cancelWaiter(String ticket, AnswerListener waiter) {
+        environment.duty().submit(() -> {
+            ServedCall call = byTicket.get(ticket);
+            if (call != null) {
+                call.waiters.remove(waiter);
+            }
+        });
+    }
+
+    /** Replies now and leaves the slot taken until the backend server is really done. */
+    private void giveUp(ServedCall call, Refusal refusal, long now) {
+        if (!call.kind.atMostOnce()) {
+            backendServer.cancel(call.entry.id());
+        }
+        replyRefused(call, refusal, now);
+    }
+
+    private void refusedByQueue(AdmissionQueue.Refused refused) {
+        ServedCall call = calls.get(refused.entry());
+        if (call != null) {
+            refusedBeforeHandover(call, refused.refusal(), environment.now());
+        }
+    }
+
+    private void refusedBeforeHandover(ServedCall call, Refusal refusal, long now) {
+        calls.remove(call.entry);
+        if (call.kind.atMostOnce()) {
+            String ticket = call.message.ticket().orElseThrow();
+            byTicket.remove(ticket);
+            tickets.refused(ticket, refusal, now);
+        }
+        closeContext(call);
+        replyRefused(call, refusal, now);
+    }
+
+    private void ended(ServedCall call, CallEnd end, long now) {
+        calls.remove(call.entry);
+        closeContext(call);
+        queue.finished(call.entry, end, now);
+        startReady(now);
+    }
+
+    private void closeContext(ServedCall call) {
+        if (call.context != null) {
+            environment.contexts().close(call.context);
+        }
+    }
+
+    private void answered(ServedCall call, int status, List<Header> headers, byte[] body) {
+        long now = environment.now();
+        if (call.kind.atMostOnce()) {
+            String ticket = call.message.ticket().orElseThrow();
+            byTicket.remove(ticket);
+            tickets.answered(ticket, outcome(status, headers, body), now);
+        }
+        ended(call, shed(status, headers) ? CallEnd.SHED_BY_BACKEND_SERVER : CallEnd.ANSWERED, now);
+        AnswerMessage answer =
+                new AnswerMessage(ResultCode.ANSWERED, status, headers, body, call.ledger.close(), load());
+        call.takeWaiters().forEach(waiter -> waiter.answered(answer));
+        call.hop.end(call.message.requestId(), ResultCode.ANSWERED);
+        environment.recorder().served(call.entry, call.message, ResultCode.ANSWERED, now);
+    }
+
+    private static Outcome outcome(int status, List<Header> headers, byte[] body) {
+        List<String> lines = headers.stream()
+                .map(header -> header.name() + ":" + header.value())
+                .toList();
+        return new Outcome(ResultCode.ANSWERED, status, lines, body);
+    }
+
+    private static boolean shed(int status, List<Header> headers) {
+        return status == STATUS_TOO_MANY_REQUESTS
+                || status == STATUS_UNAVAILABLE
+                        && headers.stream().anyMatch(header -> header.name().equalsIgnoreCase(SHED_HEADER));
+    }
+
+    private void failed(ServedCall call, BackendServer.FailureStage stage, String detail) {
+        long now = environment.now();
+        Refusal refusal = Refusal.of(code(stage), detail);
+        if (stage == BackendServer.FailureStage.BEFORE_SENT) {
+            queue.finished(call.entry, CallEnd.FAILED, now);
+            refusedBeforeHandover(call, refusal, now);
+            startReady(now);
+            return;
+        }
+        if (call.kind.atMostOnce()) {
+            String ticket = call.message.ticket().orElseThrow();
+            byTicket.remove(ticket);
+            tickets.unknown(ticket, refusal, now);
+        }
+        ended(call, call.replied ? CallEnd.CANCELLED : CallEnd.FAILED, now);
+        replyRefused(call, refusal, now);
+    }
+
+    private static ResultCode code(BackendServer.FailureStage stage) {
+        switch (stage) {
+            case BEFORE_SENT:
+                return ResultCode.CONNECT_FAILED;
+            case ANSWER_CUT:
+                return ResultCode.ANSWER_CUT;
+            case ANSWER_TOO_LARGE:
+                return ResultCode.ANSWER_TOO_LARGE;
+            case TIMED_OUT:
+                return ResultCode.DEADLINE_PASSED_AFTER_HANDOVER;
+            default:
+                return ResultCode.OUTCOME_UNKNOWN;
+        }
+    }
+
+    private void replyRefused(ServedCall call, Refusal refusal, long now) {
+        call.replied = true;
+        int unused = call.ledger == null ? call.message.allowance() : call.ledger.close();
+        call.takeWaiters().forEach(waiter -> refuse(waiter, refusal, unused));
+        if (call.hop != null) {
+            call.hop.end(call.message.requestId(), refusal.code());
+        }
+        environment.recorder().served(call.entry, call.message, refusal.code(), now);
+    }
+
+    private void refuse(AnswerListener reply, Refusal refusal, int unusedAllowance) {
+        reply.refused(new RefusalMessage(refusal, unusedAllowance, load(), true));
+    }
+
+    /** A call from its arrival to the end of its work at the backend server. */
+    private static final class ServedCall {
+        private final CallMessage message;
+        private final Kind kind;
+        private final CallEntry entry;
+        private List<AnswerListener> waiters = new ArrayList<>();
+        private AllowanceLedger ledger;
+        private String context;
+        private HopTracer.Hop hop;
+        private boolean handedOver;
+        private boolean replied;
+
+        ServedCall(CallMessage message, Kind kind, CallEntry entry, AnswerListener reply) {
+            this.message = message;
+            this.kind = kind;
+            this.entry = entry;
+            waiters.add(reply);
+        }
+
+        /** Returns those who wait for the outcome; later repeats of the ticket wait anew. */
+        List<AnswerListener> takeWaiters() {
+            List<AnswerListener> taken = waiters;
+            waiters = new ArrayList<>();
+            return taken;
+        }
+    }
+
+    /** Brings the end of a request back to the decision duty. */
+    private final class EndListener implements BackendServer.Listener {
+        private final ServedCall call;
+
+        EndListener(ServedCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public void answered(int status, List<Header> headers, byte[] body) {
+            environment.duty().submit(() -> ServingSide.this.answered(call, status, headers, body));
+        }
+
+        @Override
+        public void failed(BackendServer.FailureStage stage, String detail) {
+            environment.duty().submit(() -> ServingSide.this.failed(call, stage, detail));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/Snapshot.java
@@ -0,0 +1,71 @@
+package org.plantainshunt.call;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Service;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.membership.Membership;
+
+/**
+ * What the decisions of a node looked like at one moment.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param takenAt when, in nanoseconds of the node's monotonic clock
+ * @param draining whether the backend server is leaving
+ * @param running the calls that run at the backend server
+ * @param waiting the calls that wait for it
+ * @param limit the calls that may run at a time
+ * @param level the admission level, 0 to 512
+ * @param served the calls that this node serves
+ * @param entered the calls that entered at this node and have no reply
+ * @param tickets the tickets that are kept
+ * @param upstreams the backend servers that this node knows
+ */
+public record Snapshot(
+        long takenAt,
+        boolean draining,
+        int running,
+        int waiting,
+        int limit,
+        int level,
+        int served,
+        int entered,
+        int tickets,
+        List<UpstreamState> upstreams) {
+    static final long EVERY = TimeUnit.MILLISECONDS.toNanos(500);
+    static final Snapshot EMPTY = new Snapshot(Long.MIN_VALUE / 2, false, 0, 0, 0, 0, 0, 0, 0, List.of());
+
+    /**
+     * A backend server as this node sees it.
+     *
+     * @param vm the VM's name
+     * @param service the service
+     * @param usable whether it is chosen for calls
+     */
+    public record UpstreamState(String vm, String service, boolean usable) {}
+
+    /** Lists the backend servers of all services. */
+    static List<UpstreamState> upstreams(Membership membership, Optional<Document> document, long now) {
+        List<UpstreamState> found = new ArrayList<>();
+        if (document.isEmpty()) {
+            return found;
+        }
+        Set<String> usable = new HashSet<>();
+        for (Service service : document.get().services()) {
+            membership
+                    .usable(service.name(), now)
+                    .forEach(upstream -> usable.add(upstream.vm().name()));
+        }
+        for (Vm vm : membership.peers()) {
+            found.add(new UpstreamState(vm.name(), vm.service(), usable.contains(vm.name())));
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/control/Compression.java
@@ -0,0 +1,45 @@
+package org.plantainshunt.control;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/** Packs documents for their way between nodes. Without state and safe for use by any thread. */
+final class Compression {
+    /** The platform's own limit; a peer cannot make this node hold more. */
+    private static final int LARGEST_DOCUMENT_BYTES = 1024 * 1024;
+
+    private Compression() {}
+
+    static byte[] compress(byte[] bytes) throws IOException {
+        ByteArrayOutputStream target = new ByteArrayOutputStream();
+        try (GZIPOutputStream zip = new GZIPOutputStream(target)) {
+            zip.write(bytes);
+        }
+        return target.toByteArray();
+    }
+
+    static byte[] expand(byte[] compressed) throws IOException {
+        try (GZIPInputStream zip = new GZIPInputStream(new ByteArrayInputStream(compressed))) {
+            byte[] bytes = zip.readNBytes(LARGEST_DOCUMENT_BYTES + 1);
+            if (bytes.length > LARGEST_DOCUMENT_BYTES) {
+                throw new IOException("the document is larger than " + LARGEST_DOCUMENT_BYTES + " bytes");
+            }
+            return bytes;
+        }
+    }
+
+    /** Returns the SHA-256 in lower-case hexadecimal. */
+    static String digest(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("each Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/duty/Duty.java
@@ -0,0 +1,148 @@
+package org.plantainshunt.duty;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.ExceptionHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A thread that owns some state, fed by a bounded ring of tasks.
+ *
+ * <p>Only the duty's own thread runs its tasks, in the order of submission, so the state that they touch needs no
+ * locks. New work is taken only while the ring is less than half full; the other half is kept for the events that end
+ * work, which must not be lost. Safe for use by any thread.
+ *
+ * <p>Example: {@code duty.offer(() -> queue.add(call))} from an event loop.
+ */
+public final class Duty implements AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Duty.class);
+    private static final int STOP_SECONDS = 2;
+
+    private final Disruptor<Slot> disruptor;
+    private final RingBuffer<Slot> ring;
+    private volatile Thread thread;
+
+    /**
+     * Starts the thread.
+     *
+     * @param name the thread's name
+     * @param ringSize the number of tasks that fit the ring, a power of two
+     * @param tickEvery the longest time between two runs of {@code tick}
+     * @param tick work that the thread does regularly, also while tasks arrive
+     */
+    public Duty(String name, int ringSize, Duration tickEvery, Runnable tick) {
+        ThreadFactory factory = task -> {
+            Thread created = new Thread(task, name);
+            created.setDaemon(true);
+            thread = created;
+            return created;
+        };
+        // A blocking wait keeps an idle duty near zero processor time; a spinning one would break the 3 % bound.
+        TimeoutBlockingWaitStrategy wait = new TimeoutBlockingWaitStrategy(tickEvery.toNanos(), TimeUnit.NANOSECONDS);
+        disruptor = new Disruptor<>(Slot::new, ringSize, factory, ProducerType.MULTI, wait);
+        disruptor.setDefaultExceptionHandler(new LogException(name));
+        disruptor.handleEventsWith(new TaskHandler(tickEvery.toNanos(), tick));
+        ring = disruptor.start();
+    }
+
+    /** Adds new work and returns true, or returns false if the ring is half full. */
+    public boolean offer(Runnable task) {
+        if (ring.remainingCapacity() <= ring.getBufferSize() / 2) {
+            return false;
+        }
+        return ring.tryPublishEvent((slot, sequence) -> slot.task = task);
+    }
+
+    /**
+     * Adds an event that must not be lost, for example the end of a call.
+     *
+     * <p>Runs the task at once if the caller is the duty's own thread, because waiting for room there would never end.
+     */
+    public void submit(Runnable task) {
+        if (Thread.currentThread() == thread) {
+            task.run();
+            return;
+        }
+        ring.publishEvent((slot, sequence) -> slot.task = task);
+    }
+
+    /** Returns the share of the ring that is in use, 0 to 1. */
+    public double fill() {
+        return 1.0 - (double) ring.remainingCapacity() / ring.getBufferSize();
+    }
+
+    @Override
+    public void close() {
+        try {
+            disruptor.shutdown(STOP_SECONDS, TimeUnit.SECONDS);
+        } catch (com.lmax.disruptor.TimeoutException e) {
+            LOGGER.warn("duty did not finish its ring within {} s", STOP_SECONDS);
+            disruptor.halt();
+        }
+    }
+
+    /** One place of the ring. */
+    private static final class Slot {
+        private Runnable task;
+    }
+
+    /** Runs tasks and the regular work on the duty's thread. */
+    private static final class TaskHandler implements EventHandler<Slot> {
+        private final long tickNanoseconds;
+        private final Runnable tick;
+        private long lastTick = System.nanoTime();
+
+        TaskHandler(long tickNanoseconds, Runnable tick) {
+            this.tickNanoseconds = tickNanoseconds;
+            this.tick = tick;
+        }
+
+        @Override
+        public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+            Runnable task = slot.task;
+            slot.task = null;
+            task.run();
+            tickWhenDue();
+        }
+
+        @Override
+        public void onTimeout(long sequence) {
+            tickWhenDue();
+        }
+
+        private void tickWhenDue() {
+            long now = System.nanoTime();
+            if (now - lastTick < tickNanoseconds) {
+                return;
+            }
+            lastTick = now;
+            tick.run();
+        }
+    }
+
+    /** Logs a failed task; the thread goes on with the next one. */
+    private record LogException(String name) implements ExceptionHandler<Slot> {
+        @Override
+        public void handleEventException(Throwable error, long sequence, Slot slot) {
+            LOGGER.error("a task of duty {} failed", name, error);
+        }
+
+        @Override
+        public void handleOnStartException(Throwable error) {
+            LOGGER.error("duty {} failed to start", name, error);
+        }
+
+        @Override
+        public void handleOnShutdownException(Throwable error) {
+            LOGGER.error("duty {} failed to stop", name, error);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/RatpackBackendServer.java
@@ -0,0 +1,178 @@
+package org.plantainshunt.http;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.timeout.ReadTimeoutException;
+import org.plantainshunt.call.BackendServer;
+import org.plantainshunt.protocol.Header;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ratpack.exec.ExecController;
+import ratpack.http.client.HttpClient;
+import ratpack.http.client.HttpClientReadTimeoutException;
+import ratpack.http.client.ReceivedResponse;
+import ratpack.http.client.RequestSpec;
+
+/**
+ * Hands requests to the backend server over HTTP.
+ *
+ * <p>A request is tried once; only a connection that could not be made counts as "not sent". Safe for use by any
+ * thread.
+ */
+public final class RatpackBackendServer implements BackendServer, AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger(RatpackBackendServer.class);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+    private static final long CANCEL_GRACE = TimeUnit.SECONDS.toNanos(1);
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final String base;
+    private final ExecController executions;
+    private final HttpClient client;
+    private final LongSupplier clock;
+
+    /**
+     * Creates the client.
+     *
+     * @param address the backend server's address
+     * @param executions runs the exchanges
+     * @param connections the largest number of open connections
+     * @param largestAnswerBytes the largest body of an answer, in bytes
+     * @param clock a monotonic clock in nanoseconds
+     * @throws IOException if the client cannot be set up
+     */
+    public RatpackBackendServer(
+            InetSocketAddress address,
+            ExecController executions,
+            int connections,
+            int largestAnswerBytes,
+            LongSupplier clock)
+            throws IOException {
+        this.base = "http://" + address.getAddress().getHostAddress() + ":" + address.getPort();
+        this.executions = executions;
+        this.clock = clock;
+        try {
+            this.client = HttpClient.of(spec -> spec.execController(executions)
+                    .poolSize(Math.max(1, connections / executions.getNumThreads()))
+                    .idleTimeout(IDLE_TIMEOUT)
+                    .connectTimeout(CONNECT_TIMEOUT)
+                    .maxContentLength(largestAnswerBytes));
+        } catch (Exception e) {
+            throw new IOException("cannot create the HTTP client for the backend server", e);
+        }
+    }
+
+    @Override
+    public void send(Handover request, Listener listener) {
+        executions
+                .fork()
+                .onError(error -> listener.failed(stage(error), describe(error)))
+                .start(execution -> exchange(request, listener));
+    }
+
+    @Override
+    public void cancel(String callId) {
+        URI uri = URI.create(base + "/plantainshunt/calls/" + callId);
+        executions
+                .fork()
+                .onError(error -> LOGGER.debug("cancellation of call {} was not delivered", callId, error))
+                .start(execution -> client.request(uri, spec -> spec.delete().readTimeout(CONNECT_TIMEOUT))
+                        .then(answer -> {}));
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    private void exchange(Handover request, Listener listener) {
+        // The process may have been paused since the decision, so the deadline is checked here once more.
+        long left = request.deadline() - clock.getAsLong();
+        if (left <= 0) {
+            listener.failed(FailureStage.BEFORE_SENT, "the deadline passed before the request was written");
+            return;
+        }
+        URI uri = URI.create(base + "/" + request.kind() + request.path());
+        client.request(uri, spec -> fill(spec, request, left)).then(answer -> received(request, answer, listener));
+    }
+
+    private void fill(RequestSpec spec, Handover request, long left) {
+        spec.method(request.method())
+                .redirects(0)
+                .readTimeout(Duration.ofNanos(left + CANCEL_GRACE))
+                .decompressResponse(false);
+        for (Header header : request.headers()) {
+            spec.getHeaders().add(header.name(), header.value());
+        }
+        spec.getHeaders()
+                .set(HeaderNames.REQUEST_ID, request.requestId())
+                .set("Plantainshunt-Call", request.callId())
+                .set(HeaderNames.CONTEXT, request.context())
+                .set(HeaderNames.DEADLINE, Long.toString(TimeUnit.NANOSECONDS.toMillis(left)));
+        if (!request.traceParent().isEmpty()) {
+            spec.getHeaders().set(HeaderNames.TRACE_PARENT, request.traceParent());
+        }
+        if (request.body().length > 0) {
+            spec.getBody().bytes(request.body());
+        }
+    }
+
+    private void received(Handover request, ReceivedResponse answer, Listener listener) {
+        byte[] body = answer.getBody().getBytes();
+        if (!isWhole(request, answer, body)) {
+            listener.failed(FailureStage.ANSWER_CUT, "the answer states no length or ended before it");
+            return;
+        }
+        List<Header> headers = new ArrayList<>();
+        answer.getHeaders().getNames().forEach(name -> {
+            if (HeaderNames.passedOn(name)) {
+                answer.getHeaders().getAll(name).forEach(value -> headers.add(new Header(name, value)));
+            }
+        });
+        listener.answered(answer.getStatusCode(), headers, body);
+    }
+
+    /** An answer that ends with its connection cannot be told from one that was cut, so a length is required. */
+    private static boolean isWhole(Handover request, ReceivedResponse answer, byte[] body) {
+        int status = answer.getStatusCode();
+        if (status == NO_CONTENT || status == NOT_MODIFIED || request.method().equalsIgnoreCase("HEAD")) {
+            return true;
+        }
+        String length = answer.getHeaders().get("content-length");
+        if (length != null) {
+            return length.trim().equals(Integer.toString(body.length));
+        }
+        String encoding = answer.getHeaders().get("transfer-encoding");
+        return encoding != null && encoding.toLowerCase(Locale.ROOT).contains("chunked");
+    }
+
+    private static FailureStage stage(Throwable error) {
+        for (Throwable cause = error; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ConnectException) {
+                return FailureStage.BEFORE_SENT;
+            }
+            if (cause instanceof ReadTimeoutException || cause instanceof HttpClientReadTimeoutException) {
+                return FailureStage.TIMED_OUT;
+            }
+            if (cause instanceof TooLongFrameException) {
+                return FailureStage.ANSWER_TOO_LARGE;
+            }
+        }
+        return FailureStage.AFTER_SENT;
+    }
+
+    private static String describe(Throwable error) {
+        return "the exchange with the backend server failed: " + error;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/node/InnerCalls.java
@@ -0,0 +1,27 @@
+package org.plantainshunt.node;
+
+import org.plantainshunt.protocol.AnswerListener;
+import org.plantainshunt.protocol.CallHandler;
+import org.plantainshunt.protocol.CallMessage;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.TicketListener;
+
+/** Brings calls of other nodes to the decisions, and news of configurations with them. Safe for use by any thread. */
+final class InnerCalls implements CallHandler {
+    private final Node node;
+
+    InnerCalls(Node node) {
+        this.node = node;
+    }
+
+    @Override
+    public CancelHandle call(String fromVm, CallMessage message, AnswerListener reply) {
+        node.control().seenNumber(fromVm, message.documentNumber());
+        return node.decisions().call(fromVm, message, reply);
+    }
+
+    @Override
+    public void ticket(String fromVm, String service, String kind, TicketListener reply) {
+        node.decisions().ticket(fromVm, service, kind, reply);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -0,0 +1,360 @@
+package org.plantainshunt.node;
+
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.plantainshunt.call.Decisions;
+import org.plantainshunt.call.HopTracer;
+import org.plantainshunt.call.Snapshot;
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.control.FleetControl;
+import org.plantainshunt.control.HealthWatch;
+import org.plantainshunt.duty.Duty;
+import org.plantainshunt.http.AdminServer;
+import org.plantainshunt.http.CallerServer;
+import org.plantainshunt.http.HealthReader;
+import org.plantainshunt.http.MetricsReport;
+import org.plantainshunt.http.RatpackBackendServer;
+import org.plantainshunt.http.RatpackPlatform;
+import org.plantainshunt.protocol.Announcement;
+import org.plantainshunt.protocol.DocumentMessage;
+import org.plantainshunt.protocol.Greeting;
+import org.plantainshunt.protocol.InnerConnection;
+import org.plantainshunt.protocol.InnerEndpoint;
+import org.plantainshunt.protocol.InnerSettings;
+import org.plantainshunt.protocol.PeerHandler;
+import org.plantainshunt.telemetry.SpanTracer;
+import org.plantainshunt.telemetry.Telemetry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ratpack.exec.ExecController;
+import ratpack.server.RatpackServer;
+
+/**
+ * A running node: the duties, servers and clients of one process.
+ *
+ * <p>A planned stop says at once that the node is leaving, finishes what is in flight and then closes. Every call has a
+ * deadline of at most 30 s, so a stop takes at most that long. Safe for use by any thread.
+ */
+public final class Node implements AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
+    private static final int HTTP_THREADS = 2;
+    private static final int INNER_THREADS = 2;
+    private static final int CONTROL_RING_SIZE = 1024;
+    private static final Duration CONTROL_TICK = Duration.ofMillis(100);
+    private static final long HEALTH_EVERY = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long LONGEST_STOP = TimeUnit.SECONDS.toNanos(35);
+    private static final long NEWS_TRAVEL_TIME = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long STOP_CHECK_MILLISECONDS = 20;
+    private static final int BACKEND_CONNECTIONS = 512;
+    private static final int LARGEST_BODY_BYTES = 16 * 1024 * 1024;
+    private static final long DEFAULT_BODY_BYTES = 1024 * 1024;
+
+    private final NodeSettings settings;
+    private final long incarnation;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Telemetry telemetry;
+    private final HopTracer tracer;
+    private final AdminServer admin;
+    private final CallerServer callers;
+    private final CallerServer outbound;
+    private final RatpackBackendServer backendServer;
+    private final RatpackPlatform platform;
+    private final HealthReader healthReader;
+    private final Decisions decisions;
+    private final FleetControl control;
+    private final Duty controlDuty;
+    private final InnerEndpoint inner;
+    private final HealthWatch health = new HealthWatch();
+    private long nextHealth;
+    private boolean healthAsked;
+    private volatile boolean leaving;
+    private volatile boolean stopping;
+
+    /**
+     * Starts a node.
+     *
+     * @throws Exception if an address cannot be bound or a file cannot be written
+     */
+    public Node(NodeSettings settings) throws Exception {
+        this.settings = settings;
+        RandomGenerator random = new SecureRandom();
+        incarnation = random.nextLong(1, Long.MAX_VALUE);
+        telemetry = new Telemetry(metrics);
+        tracer = settings.spanFile().isPresent()
+                ? new SpanTracer(settings.spanFile().get(), settings.name())
+                : HopTracer.off();
+        StatusReport status = new StatusReport(this);
+        admin = new AdminServer(settings.adminAddress(), status::json, new MetricsReport(metrics), this::ready);
+        ExecController adminExecutions = executions(admin.server());
+        platform = new RatpackPlatform(settings.platform(), adminExecutions);
+        healthReader = new HealthReader(settings.backendServer(), adminExecutions);
+        control = new FleetControl(
+                settings.name(), settings.seeds(), platform, new NodePeers(), new InForce(), System::nanoTime, random);
+        inner = new InnerEndpoint(
+                new InnerSettings(
+                        settings.name(),
+                        incarnation,
+                        settings.sharedSecret(),
+                        LARGEST_BODY_BYTES,
+                        INNER_THREADS,
+                        () -> leaving,
+                        control::documentNumber),
+                new InnerCalls(this),
+                new InnerPeers());
+        outbound = callerServer(settings.outboundAddress(), 1, true);
+        callers = callerServer(settings.callerAddress(), HTTP_THREADS, false);
+        backendServer = new RatpackBackendServer(
+                settings.backendServer(),
+                executions(callers.server()),
+                BACKEND_CONNECTIONS,
+                LARGEST_BODY_BYTES,
+                System::nanoTime);
+        decisions = new Decisions(
+                new Decisions.Identity(settings.name(), settings.service(), settings.dataCentre(), incarnation),
+                backendServer,
+                inner::connect,
+                System::nanoTime,
+                random,
+                telemetry,
+                tracer);
+        inner.listen(
+                settings.innerAddress().getAddress().getHostAddress(),
+                settings.innerAddress().getPort());
+        controlDuty = new Duty("control", CONTROL_RING_SIZE, CONTROL_TICK, this::tickControl);
+        control.runOn(controlDuty);
+        registerGauges();
+        LOGGER.info("node {} of service {} started, incarnation {}", settings.name(), settings.service(), incarnation);
+    }
+
+    NodeSettings settings() {
+        return settings;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    FleetControl control() {
+        return control;
+    }
+
+    Snapshot snapshot() {
+        return decisions.snapshot();
+    }
+
+    Decisions decisions() {
+        return decisions;
+    }
+
+    String state() {
+        if (stopping) {
+            return "stopping";
+        }
+        if (leaving) {
+            return "draining";
+        }
+        return ready() ? "serving" : "starting";
+    }
+
+    boolean ready() {
+        return control.documentNumber() > 0 && !leaving;
+    }
+
+    /** Stops as planned: says that the node leaves, finishes what is in flight, then closes. */
+    @Override
+    public void close() {
+        LOGGER.info("node {} is stopping", settings.name());
+        stopping = true;
+        leave(true);
+        awaitIdle();
+        closeParts();
+        LOGGER.info("node {} stopped", settings.name());
+    }
+
+    private void awaitIdle() {
+        long start = System.nanoTime();
+        while (System.nanoTime() - start < LONGEST_STOP) {
+            boolean newsTravelled = System.nanoTime() - start > NEWS_TRAVEL_TIME;
+            Snapshot now = decisions.snapshot();
+            boolean fresh = now.takenAt() - start > 0;
+            boolean idle = now.served() == 0 && now.entered() == 0;
+            if (newsTravelled && fresh && idle && callers.openRequests() == 0 && outbound.openRequests() == 0) {
+                return;
+            }
+            try {
+                Thread.sleep(STOP_CHECK_MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+        LOGGER.warn("calls are still open after the longest time of a stop");
+    }
+
+    private void closeParts() {
+        closeQuietly(callers);
+        closeQuietly(outbound);
+        closeQuietly(inner);
+        closeQuietly(controlDuty);
+        closeQuietly(decisions);
+        closeQuietly(backendServer);
+        closeQuietly(platform);
+        closeQuietly(admin);
+        closeQuietly(telemetry);
+        if (tracer instanceof AutoCloseable closeable) {
+            closeQuietly(closeable);
+        }
+    }
+
+    private static void closeQuietly(AutoCloseable part) {
+        try {
+            part.close();
+        } catch (Exception e) {
+            LOGGER.warn("a part did not close", e);
+        }
+    }
+
+    private static ExecController executions(RatpackServer server) {
+        return server.getRegistry().orElseThrow().get(ExecController.class);
+    }
+
+    private CallerServer callerServer(InetSocketAddress address, int threads, boolean fromBackendServer)
+            throws Exception {
+        return new CallerServer(
+                address,
+                threads,
+                settings.name(),
+                fromBackendServer,
+                (call, reply, cancellation) -> decisions().call(call, reply, cancellation),
+                this::largestBody,
+                System::nanoTime);
+    }
+
+    private long largestBody() {
+        return control.configuration()
+                .current()
+                .map(document -> document.policy().largestBody())
+                .orElse(DEFAULT_BODY_BYTES);
+    }
+
+    private void leave(boolean now) {
+        if (leaving == now) {
+            return;
+        }
+        leaving = now;
+        decisions.drain(now);
+        if (now) {
+            inner.sayDraining();
+        }
+    }
+
+    private void tickControl() {
+        if (controlDuty == null) {
+            return;
+        }
+        control.tick();
+        long now = System.nanoTime();
+        if (now >= nextHealth && !healthAsked) {
+            nextHealth = now + HEALTH_EVERY;
+            healthAsked = true;
+            healthReader.read(answer -> controlDuty.submit(() -> takeHealth(answer)));
+        }
+    }
+
+    private void takeHealth(HealthWatch.Health answer) {
+        healthAsked = false;
+        if (health.answered(answer) && !stopping) {
+            LOGGER.info("the backend server {}", health.draining() ? "is leaving" : "serves again");
+            leave(health.draining());
+        }
+    }
+
+    private void registerGauges() {
+        gauge("serving.running", () -> snapshot().running());
+        gauge("serving.waiting", () -> snapshot().waiting());
+        gauge("serving.limit", () -> snapshot().limit());
+        gauge("serving.level", () -> snapshot().level());
+        gauge("serving.tickets", () -> snapshot().tickets());
+        gauge("entry.open", () -> snapshot().entered());
+        gauge("decisions.ring-fill", () -> decisions.fill());
+        gauge("telemetry.ring-fill", telemetry::fill);
+        gauge("configuration.number", control::documentNumber);
+        gauge("memory.heap-bytes", () -> {
+            Runtime runtime = Runtime.getRuntime();
+            return runtime.totalMemory() - runtime.freeMemory();
+        });
+    }
+
+    private void gauge(String name, Gauge<?> value) {
+        metrics.register(name, value);
+    }
+
+    /** Brings what came into force to the decisions. */
+    private final class InForce implements FleetControl.Listener {
+        @Override
+        public void configuration(Document document) {
+            decisions.configure(document);
+        }
+
+        @Override
+        public void vmList(VmList list) {
+            decisions.vmList(list);
+        }
+    }
+
+    /** Reaches other nodes through the connections of the decisions. */
+    private final class NodePeers implements FleetControl.Peers {
+        @Override
+        public void use(Vm vm, Consumer<InnerConnection> action) {
+            decisions.use(vm, action);
+        }
+
+        @Override
+        public void useSeed(InetSocketAddress address, Consumer<InnerConnection> action) {
+            inner.connect(address.getAddress().getHostAddress(), address.getPort())
+                    .thenAccept(action);
+        }
+    }
+
+    /** Brings what peers say to the decisions and the control. */
+    private final class InnerPeers implements PeerHandler {
+        @Override
+        public void greeted(Greeting greeting) {
+            decisions.greeted(greeting);
+        }
+
+        @Override
+        public void draining(String vm, long theirIncarnation) {
+            decisions.draining(vm, theirIncarnation);
+        }
+
+        @Override
+        public void disconnected(String vm) {
+            decisions.disconnected(vm);
+        }
+
+        @Override
+        public void announced(InnerConnection from, Announcement announcement) {
+            control.announced(from, announcement);
+        }
+
+        @Override
+        public void documentRequested(InnerConnection from, String documentKind) {
+            control.requested(from, documentKind);
+        }
+
+        @Override
+        public void documentReceived(InnerConnection from, DocumentMessage document) {
+            control.received(from, document);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/node/NodeSettings.java
@@ -0,0 +1,160 @@
+package org.plantainshunt.node;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/**
+ * The settings that a node reads from its file at start.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param name the name of the node and of its VM
+ * @param dataCentre the data centre that the VM stands in
+ * @param service the service of the backend server beside the node
+ * @param callerAddress where outside callers connect
+ * @param outboundAddress the loopback address where the backend server makes its own calls
+ * @param innerAddress where other nodes connect
+ * @param adminAddress where operators connect
+ * @param backendServer the address of the backend server
+ * @param platform the address of the platform's configuration service
+ * @param seeds the inner addresses that a node without configuration asks first
+ * @param sharedSecret the secret that all nodes share
+ * @param spanFile the file for spans, if they are written
+ * @param decisionFile the file for the record of decisions, if it is written
+ */
+public record NodeSettings(
+        String name,
+        String dataCentre,
+        String service,
+        InetSocketAddress callerAddress,
+        InetSocketAddress outboundAddress,
+        InetSocketAddress innerAddress,
+        InetSocketAddress adminAddress,
+        InetSocketAddress backendServer,
+        InetSocketAddress platform,
+        List<InetSocketAddress> seeds,
+        String sharedSecret,
+        Optional<Path> spanFile,
+        Optional<Path> decisionFile) {
+    private static final int SHORTEST_SECRET_CHARACTERS = 16;
+    private static final String OFF = "off";
+    private static final Map<String, Set<String>> KNOWN_KEYS = Map.of(
+            "node",
+                    Set.of(
+                            "name",
+                            "data-centre",
+                            "service",
+                            "caller-address",
+                            "outbound-address",
+                            "inner-address",
+                            "admin-address"),
+            "backend-server", Set.of("address"),
+            "platform", Set.of("address"),
+            "seeds", Set.of("peers"),
+            "security", Set.of("shared-secret"),
+            "trace", Set.of("spans", "decisions"));
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws InvalidSettingsException if the file cannot be read, or a value is missing, unknown or malformed
+     */
+    public static NodeSettings read(Path file) throws InvalidSettingsException {
+        INIConfiguration ini = new INIConfiguration();
+        try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
+            ini.read(reader);
+        } catch (IOException | ConfigurationException e) {
+            throw new InvalidSettingsException("cannot read " + file + ": " + e.getMessage(), e);
+        }
+        checkKeys(ini);
+        String secret = required(ini, "security", "shared-secret");
+        if (secret.length() < SHORTEST_SECRET_CHARACTERS) {
+            throw new InvalidSettingsException(
+                    "[security] shared-secret has fewer than " + SHORTEST_SECRET_CHARACTERS + " characters");
+        }
+        return new NodeSettings(
+                required(ini, "node", "name"),
+                required(ini, "node", "data-centre"),
+                required(ini, "node", "service"),
+                address(ini, "node", "caller-address"),
+                address(ini, "node", "outbound-address"),
+                address(ini, "node", "inner-address"),
+                address(ini, "node", "admin-address"),
+                address(ini, "backend-server", "address"),
+                address(ini, "platform", "address"),
+                addresses(ini),
+                secret,
+                file(ini, "spans"),
+                file(ini, "decisions"));
+    }
+
+    private static void checkKeys(INIConfiguration ini) throws InvalidSettingsException {
+        for (String section : ini.getSections()) {
+            if (section == null || !KNOWN_KEYS.containsKey(section)) {
+                throw new InvalidSettingsException("unknown section [" + section + "]");
+            }
+            Iterator<String> keys = ini.getSection(section).getKeys();
+            while (keys.hasNext()) {
+                String key = keys.next();
+                if (!KNOWN_KEYS.get(section).contains(key)) {
+                    throw new InvalidSettingsException("unknown key [" + section + "] " + key);
+                }
+            }
+        }
+    }
+
+    private static Optional<String> value(INIConfiguration ini, String section, String key) {
+        SubnodeConfiguration part = ini.getSection(section);
+        return Optional.ofNullable(part.getString(key)).map(String::trim).filter(text -> !text.isEmpty());
+    }
+
+    private static String required(INIConfiguration ini, String section, String key) throws InvalidSettingsException {
+        return value(ini, section, key)
+                .orElseThrow(() -> new InvalidSettingsException("missing [" + section + "] " + key));
+    }
+
+    private static InetSocketAddress address(INIConfiguration ini, String section, String key)
+            throws InvalidSettingsException {
+        return address(required(ini, section, key), "[" + section + "] " + key);
+    }
+
+    private static InetSocketAddress address(String text, String place) throws InvalidSettingsException {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new InvalidSettingsException(place + " is not IP:port: " + text);
+        }
+        try {
+            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new InvalidSettingsException(place + " is not IP:port: " + text, e);
+        }
+    }
+
+    private static List<InetSocketAddress> addresses(INIConfiguration ini) throws InvalidSettingsException {
+        List<InetSocketAddress> found = new ArrayList<>();
+        for (String text : value(ini, "seeds", "peers").orElse("").split(",")) {
+            if (!text.isBlank()) {
+                found.add(address(text.trim(), "[seeds] peers"));
+            }
+        }
+        return List.copyOf(found);
+    }
+
+    private static Optional<Path> file(INIConfiguration ini, String key) {
+        return value(ini, "trace", key).filter(text -> !text.equals(OFF)).map(Path::of);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/node/StatusReport.java
@@ -0,0 +1,60 @@
+package org.plantainshunt.node;
+
+import java.lang.management.ManagementFactory;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.plantainshunt.call.Snapshot;
+import org.plantainshunt.configuration.AcceptedDocument;
+
+/** Describes a node as JSON for the operators' tool. Safe for use by any thread. */
+final class StatusReport {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Node node;
+
+    StatusReport(Node node) {
+        this.node = node;
+    }
+
+    JsonNode json() {
+        Snapshot snapshot = node.snapshot();
+        ObjectNode tree = MAPPER.createObjectNode();
+        tree.put("node", node.settings().name());
+        tree.put("service", node.settings().service());
+        tree.put("state", node.state());
+        tree.put("ready", node.ready());
+        describe(tree.putObject("configuration"), node.control().configuration());
+        tree.put("running", snapshot.running());
+        tree.put("waiting", snapshot.waiting());
+        tree.put("limit", snapshot.limit());
+        tree.put("level", snapshot.level());
+        ArrayNode upstreams = tree.putArray("upstreams");
+        for (Snapshot.UpstreamState upstream : snapshot.upstreams()) {
+            upstreams
+                    .addObject()
+                    .put("vm", upstream.vm())
+                    .put("service", upstream.service())
+                    .put("state", upstream.usable() ? "usable" : "unusable");
+        }
+        tree.put("incarnation", Long.toString(node.incarnation()));
+        tree.put(
+                "uptimeSeconds",
+                TimeUnit.MILLISECONDS.toSeconds(
+                        ManagementFactory.getRuntimeMXBean().getUptime()));
+        return tree;
+    }
+
+    private static void describe(ObjectNode tree, AcceptedDocument configuration) {
+        tree.put(
+                "number", configuration.current().map(d -> d.version().number()).orElse(0L));
+        tree.put(
+                "digest", configuration.current().map(d -> d.version().digest()).orElse(""));
+        tree.put(
+                "rejection",
+                configuration.lastRejection().map(Throwable::getMessage).orElse(""));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/telemetry/SpanTracer.java
@@ -0,0 +1,126 @@
+package org.plantainshunt.telemetry;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.FileHandler;
+import java.util.logging.Formatter;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import io.opentelemetry.api.common.Attributes;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanContext;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.StatusCode;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.context.propagation.TextMapGetter;
+import io.opentelemetry.exporter.logging.otlp.OtlpJsonLoggingSpanExporter;
+import io.opentelemetry.sdk.resources.Resource;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
+import org.plantainshunt.call.HopTracer;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
+
+/**
+ * Writes a span for each hop to a file, as OTLP JSON lines.
+ *
+ * <p>Spans are written by a thread of the tracing library; when its queue is full, spans are dropped. The file is
+ * bounded and begins anew when it is full. Safe for use by any thread.
+ */
+public final class SpanTracer implements HopTracer, AutoCloseable {
+    private static final int LARGEST_FILE_BYTES = 64 * 1024 * 1024;
+    private static final int FILES = 2;
+    private static final int STOP_SECONDS = 2;
+    private static final String TRACE_PARENT = "traceparent";
+    private static final TextMapGetter<String> GETTER = new TraceParentGetter();
+
+    private final SdkTracerProvider provider;
+    private final Tracer tracer;
+    private final FileHandler file;
+
+    /**
+     * Opens the file.
+     *
+     * @throws IOException if the file cannot be written
+     */
+    public SpanTracer(Path path, String node) throws IOException {
+        file = new FileHandler(path.toString(), LARGEST_FILE_BYTES, FILES, true);
+        file.setFormatter(new PlainLine());
+        Logger target = Logger.getLogger(OtlpJsonLoggingSpanExporter.class.getName());
+        target.setUseParentHandlers(false);
+        target.addHandler(file);
+        provider = SdkTracerProvider.builder()
+                .setResource(Resource.create(Attributes.builder()
+                        .put("service.name", "plantainshunt")
+                        .put("node", node)
+                        .build()))
+                .addSpanProcessor(BatchSpanProcessor.builder(OtlpJsonLoggingSpanExporter.create())
+                        .build())
+                .build();
+        tracer = provider.get("org.plantainshunt");
+    }
+
+    @Override
+    public Hop begin(String role, String service, String kind, String traceParent) {
+        Context parent = W3CTraceContextPropagator.getInstance().extract(Context.root(), traceParent, GETTER);
+        Span span = tracer.spanBuilder(role + " " + service + "/" + kind)
+                .setParent(parent)
+                .setSpanKind(SpanKind.SERVER)
+                .setAttribute("plantainshunt.role", role)
+                .startSpan();
+        return new SpanHop(span);
+    }
+
+    @Override
+    public void close() {
+        provider.shutdown().join(STOP_SECONDS, TimeUnit.SECONDS);
+        file.close();
+    }
+
+    /** A span that ends once. */
+    private record SpanHop(Span span) implements Hop {
+        @Override
+        public String traceParent() {
+            SpanContext context = span.getSpanContext();
+            return "00-" + context.getTraceId() + "-" + context.getSpanId() + "-"
+                    + context.getTraceFlags().asHex();
+        }
+
+        @Override
+        public void end(String requestId, ResultCode code) {
+            span.setAttribute("plantainshunt.request-id", requestId);
+            span.setAttribute("plantainshunt.result", code.number());
+            span.setAttribute("plantainshunt.run", code.runState().label());
+            if (code.runState() != RunState.RUN) {
+                span.setStatus(StatusCode.ERROR, code.explanation());
+            }
+            span.end();
+        }
+    }
+
+    /** Presents one trace parent as a set of headers. */
+    private static final class TraceParentGetter implements TextMapGetter<String> {
+        @Override
+        public Iterable<String> keys(String traceParent) {
+            return Map.of(TRACE_PARENT, traceParent).keySet();
+        }
+
+        @Override
+        public String get(String traceParent, String key) {
+            return TRACE_PARENT.equals(key) ? traceParent : null;
+        }
+    }
+
+    /** Writes the message of a log record and nothing else. */
+    private static final class PlainLine extends Formatter {
+        @Override
+        public String format(LogRecord entry) {
+            return entry.getMessage() + System.lineSeparator();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -0,0 +1,102 @@
+package org.plantainshunt.telemetry;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import net.logstash.logback.argument.StructuredArguments;
+import org.plantainshunt.admission.CallEntry;
+import org.plantainshunt.call.CallRecorder;
+import org.plantainshunt.call.CallReply;
+import org.plantainshunt.call.InboundCall;
+import org.plantainshunt.duty.Duty;
+import org.plantainshunt.protocol.CallMessage;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Counts and logs what the decisions did.
+ *
+ * <p>Log lines are written by a thread of their own; when its ring is full, lines are dropped and counted, so that a
+ * slow log never delays a call. Safe for use by any thread.
+ */
+public final class Telemetry implements CallRecorder, AutoCloseable {
+    private static final Logger LOGGER = LoggerFactory.getLogger("refusal");
+    private static final int RING_SIZE = 4096;
+    private static final Duration TICK = Duration.ofSeconds(1);
+
+    private final MetricRegistry registry;
+    private final Duty duty;
+    private final Timer entryTime;
+    private final Timer servingTime;
+    private final Timer queueTime;
+    private final Counter retries;
+    private final Counter droppedLines;
+
+    /** Starts the thread that writes log lines. */
+    public Telemetry(MetricRegistry registry) {
+        this.registry = registry;
+        this.duty = new Duty("telemetry", RING_SIZE, TICK, () -> {});
+        this.entryTime = registry.timer("entry.time", Telemetry::timer);
+        this.servingTime = registry.timer("serving.time", Telemetry::timer);
+        this.queueTime = registry.timer("serving.queue-time", Telemetry::timer);
+        this.retries = registry.counter("entry.retries");
+        this.droppedLines = registry.counter("telemetry.dropped-lines");
+    }
+
+    private static Timer timer() {
+        return new Timer(LockFreeExponentiallyDecayingReservoir.builder().build());
+    }
+
+    @Override
+    public void started(CallEntry entry, CallMessage message, long now) {
+        queueTime.update(now - entry.arrived(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void served(CallEntry entry, CallMessage message, ResultCode code, long now) {
+        registry.counter("serving.result." + code.number()).inc();
+        servingTime.update(now - entry.arrived(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void replied(InboundCall call, CallReply reply, long now) {
+        registry.counter("entry.result." + reply.code().number()).inc();
+        entryTime.update(now - call.arrived(), TimeUnit.NANOSECONDS);
+        retries.inc(reply.retries());
+        if (reply.refusal().isPresent() && reply.code() != ResultCode.TICKET_REQUIRED) {
+            logRefusal(call, reply, reply.refusal().get());
+        }
+    }
+
+    /** Returns the share of the ring of log lines that is in use, 0 to 1. */
+    public double fill() {
+        return duty.fill();
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void logRefusal(InboundCall call, CallReply reply, Refusal refusal) {
+        boolean taken = duty.offer(() -> LOGGER.info(
+                "request refused",
+                StructuredArguments.kv("requestId", call.requestId()),
+                StructuredArguments.kv("service", call.service()),
+                StructuredArguments.kv("kind", call.kind()),
+                StructuredArguments.kv("code", refusal.code().number()),
+                StructuredArguments.kv("name", refusal.code().name()),
+                StructuredArguments.kv("run", refusal.code().runState().label()),
+                StructuredArguments.kv("detail", refusal.detail()),
+                StructuredArguments.kv("retries", reply.retries())));
+        if (!taken) {
+            droppedLines.inc();
+        }
+    }
+}
