--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/call/EntryCall.java
@@ -0,0 +1,50 @@
+package org.plantainshunt.call;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.plantainshunt.admission.Priority;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.retry.AttemptAllowance;
+import org.plantainshunt.retry.Share;
+
+/**
+ * A call from its arrival at an entry node to its reply.
+ *
+ * <p>The fields are written by {@link EntrySide} and {@link CallPreparation} only. Confined to the decision duty's
+ * thread.
+ */
+final class EntryCall {
+    final long id;
+    final InboundCall inbound;
+    final ReplyListener reply;
+    final Set<String> excluded = new HashSet<>();
+    Kind kind;
+    Priority priority;
+    String requestId;
+    long deadline;
+    Share share;
+    AttemptAllowance allowance;
+    boolean mayHaveRun;
+    int retries;
+    boolean done;
+    EntrySide.Attempt attempt;
+    HopTracer.Hop hop;
+    Optional<CallContexts.Context> parent = Optional.empty();
+    Optional<Refusal> lastRefusal = Optional.empty();
+
+    EntryCall(long id, InboundCall inbound, ReplyListener reply) {
+        this.id = id;
+        this.inbound = inbound;
+        this.reply = reply;
+        this.requestId = inbound.requestId();
+        this.deadline = Long.MAX_VALUE / 2;
+    }
+
+    void allow(Share given, int callsBelow) {
+        share = given;
+        allowance = new AttemptAllowance(given, callsBelow);
+    }
+}
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,11 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import org.plantainshunt.admission.Priority;
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Kind;
-import org.plantainshunt.configuration.Outcall;
-import org.plantainshunt.configuration.Policy;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.execution.Ticket;
 import org.plantainshunt.membership.Membership;
@@ -29,8 +25,6 @@
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.ResultCode;
 import org.plantainshunt.result.RunState;
-import org.plantainshunt.retry.AttemptAllowance;
-import org.plantainshunt.retry.RetryBudget;
 import org.plantainshunt.retry.Share;
 import org.plantainshunt.routing.BackendServerChoice;
 import org.plantainshunt.routing.Distance;
@@ -67,13 +61,9 @@
     private final Connections connections;
     private final BackendServerChoice choice;
     private final LinkBudgets links;
-    private Optional<Document> document = Optional.empty();
     private final Map<Long, EntryCall> calls = new HashMap<>();
-    private final Map<Kind, Integer> callsBelow = new HashMap<>();
-    private final DownstreamLevels levels =
-            new DownstreamLevels((service, kind) -> document.flatMap(known -> known.kind(service, kind)));
-    private RetryBudget retryBudget = new RetryBudget(0);
-    private double retryRatio;
+    private final CallPreparation preparation;
+    private final DownstreamLevels levels = new DownstreamLevels((service, kind) -> kind(service, kind));
     private long nextCall;
 
     EntrySide(
@@ -87,6 +77,7 @@
         this.ownVm = ownVm;
         this.serving = serving;
         this.environment = environment;
+        this.preparation = new CallPreparation(environment);
         this.membership = membership;
         this.connections = connections;
         this.choice = choice;
@@ -95,13 +86,7 @@
 
     /** Puts a configuration in force. */
     void configure(Document accepted) {
-        document = Optional.of(accepted);
-        callsBelow.clear();
-        double ratio = accepted.policy().retryBudget();
-        if (ratio != retryRatio) {
-            retryRatio = ratio;
-            retryBudget = new RetryBudget(ratio);
-        }
+        preparation.configure(accepted);
         links.configure(accepted);
     }
 
@@ -110,12 +95,12 @@
         EntryCall call = new EntryCall(nextCall++, inbound, reply);
         calls.put(call.id, call);
         call.hop = environment.tracer().begin("entry", inbound.service(), inbound.kind(), inbound.traceParent());
-        Optional<Refusal> problem = prepare(call);
+        Optional<Refusal> problem = preparation.prepare(call);
         if (problem.isPresent()) {
             refuse(call, problem.get());
             return () -> {};
         }
-        retryBudget.attempted(environment.now());
+        preparation.retryBudget().attempted(environment.now());
         route(call);
         return () -> environment.duty().submit(() -> cancel(call));
     }
@@ -138,93 +123,8 @@
         return calls.size();
     }
 
-    /** Returns the number of calls declared in the whole tree below a kind. */
-    private int callsBelow(Kind kind) {
-        Integer known = callsBelow.get(kind);
-        if (known != null) {
-            return known;
-        }
-        int sum = 0;
-        for (Outcall outcall : kind.calls()) {
-            Optional<Kind> next = document.flatMap(current -> current.kind(outcall.service(), outcall.kind()));
-            sum += outcall.count() * (1 + (next.isPresent() ? callsBelow(next.get()) : 0));
-        }
-        callsBelow.put(kind, sum);
-        return sum;
-    }
-
-    private Optional<Refusal> prepare(EntryCall call) {
-        InboundCall inbound = call.inbound;
-        if (document.isEmpty()) {
-            return refusal(ResultCode.NOT_READY, "the node has no configuration yet");
-        }
-        if (document.get().service(inbound.service()).isEmpty()) {
-            return refusal(ResultCode.UNKNOWN_SERVICE, "no service " + inbound.service());
-        }
-        Optional<Kind> kind = document.get().kind(inbound.service(), inbound.kind());
-        if (kind.isEmpty()) {
-            return refusal(ResultCode.UNKNOWN_KIND, "no kind " + inbound.kind() + " of service " + inbound.service());
-        }
-        call.kind = kind.get();
-        long longest = call.kind.deadline().toNanos();
-        long asked = TimeUnit.MILLISECONDS.toNanos(
-                inbound.deadlineMilliseconds().orElse(call.kind.deadline().toMillis()));
-        call.deadline = inbound.arrived() + Math.min(longest, asked);
-        return inbound.fromBackendServer() ? inherit(call) : begin(call);
-    }
-
-    /** Prepares a call that a backend server makes: it belongs to the request that runs there. */
-    private Optional<Refusal> inherit(EntryCall call) {
-        Optional<CallContexts.Context> context = call.inbound.context().flatMap(environment.contexts()::find);
-        if (context.isEmpty()) {
-            // Without its context a call cannot share the request's allowance, so it gets none.
-            call.priority = rootPriority(call);
-            call.allow(new Share(0, false), callsBelow(call.kind));
-            return Optional.empty();
-        }
-        call.parent = context;
-        call.requestId = context.get().requestId();
-        call.priority = context.get().priority();
-        call.deadline = Math.min(call.deadline, context.get().deadline());
-        if (needsTicket(call)) {
-            // Asking for a ticket runs nothing, so it takes nothing from the request's declared calls.
-            call.parent = Optional.empty();
-            call.allow(new Share(0, false), callsBelow(call.kind));
-            return Optional.empty();
-        }
-        Optional<Share> share = context.get().ledger().take(call.kind.service(), call.kind.name());
-        if (share.isEmpty()) {
-            call.parent = Optional.empty();
-            return refusal(ResultCode.RETRY_BOUND_REACHED, "the request has made its calls and spent its retries");
-        }
-        call.allow(share.get(), callsBelow(call.kind));
-        return Optional.empty();
-    }
-
-    /** Prepares a call from an outside caller; its repeats count against the same bound. */
-    private Optional<Refusal> begin(EntryCall call) {
-        Policy policy = document.orElseThrow().policy();
-        int repeats = call.inbound.attempt() - 1;
-        call.priority = rootPriority(call);
-        call.allow(new Share(Math.max(0, policy.retriesPerRequest() - repeats), false), callsBelow(call.kind));
-        if (repeats == 0 || call.inbound.ticket().isPresent()) {
-            return Optional.empty();
-        }
-        if (repeats > policy.retriesPerRequest()) {
-            return refusal(ResultCode.RETRY_BOUND_REACHED, "attempt " + call.inbound.attempt() + " of the caller");
-        }
-        if (!retryBudget.tryRetry(environment.now())) {
-            return refusal(ResultCode.RETRY_BOUND_REACHED, "the node's budget for retries is spent");
-        }
-        return Optional.empty();
-    }
-
-    private static Priority rootPriority(EntryCall call) {
-        return Priority.of(call.kind.priorityClass(), Priority.cohortOf(call.inbound.requestId()));
-    }
-
-    private static Optional<Refusal> refusal(ResultCode code, String detail) {
-        return Optional.of(Refusal.of(code, detail));
+    private Optional<Kind> kind(String service, String kind) {
+        return preparation.document().flatMap(known -> known.kind(service, kind));
     }
 
     private void route(EntryCall call) {
@@ -295,7 +195,7 @@
         call.attempt = attempt;
         upstream.started(attempt.id, environment.now());
         Vm vm = upstream.vm();
-        if (needsTicket(call)) {
+        if (CallPreparation.needsTicket(call)) {
             requestTicket(attempt);
             return;
         }
@@ -307,10 +207,6 @@
         connections.use(vm, connection -> sendOver(attempt, connection), attempt::notConnected);
     }
 
-    private static boolean needsTicket(EntryCall call) {
-        return call.kind.atMostOnce() && call.inbound.ticket().isEmpty();
-    }
-
     private void sendOver(Attempt attempt, InnerConnection connection) {
         EntryCall call = attempt.call;
         if (call.attempt != attempt) {
@@ -337,7 +233,7 @@
                 attempt.share.allowance(),
                 inbound.ticket(),
                 call.hop.traceParent(),
-                document.map(known -> known.version().number()).orElse(0L));
+                preparation.document().map(known -> known.version().number()).orElse(0L));
     }
 
     private void requestTicket(Attempt attempt) {
@@ -421,7 +317,10 @@
         boolean lost = refusal.code() == ResultCode.OUTCOME_UNKNOWN || refusal.code() == ResultCode.ANSWER_CUT;
         boolean harmless = refusal.code().retryElsewhere() || lost && !call.kind.atMostOnce();
         long now = environment.now();
-        if (!harmless || call.allowance.remaining() == 0 || now >= call.deadline || !retryBudget.tryRetry(now)) {
+        if (!harmless
+                || call.allowance.remaining() == 0
+                || now >= call.deadline
+                || !preparation.retryBudget().tryRetry(now)) {
             return Optional.empty();
         }
         call.mayHaveRun |= lost;
@@ -489,42 +388,8 @@
         call.reply.replied(reply);
     }
 
-    /** A call from its arrival to its reply. */
-    private static final class EntryCall {
-        private final long id;
-        private final InboundCall inbound;
-        private final ReplyListener reply;
-        private final Set<String> excluded = new HashSet<>();
-        private Kind kind;
-        private Priority priority;
-        private String requestId;
-        private long deadline;
-        private Share share;
-        private AttemptAllowance allowance;
-        private boolean mayHaveRun;
-        private int retries;
-        private boolean done;
-        private Attempt attempt;
-        private HopTracer.Hop hop;
-        private Optional<CallContexts.Context> parent = Optional.empty();
-        private Optional<Refusal> lastRefusal = Optional.empty();
-
-        EntryCall(long id, InboundCall inbound, ReplyListener reply) {
-            this.id = id;
-            this.inbound = inbound;
-            this.reply = reply;
-            this.requestId = inbound.requestId();
-            this.deadline = Long.MAX_VALUE / 2;
-        }
-
-        void allow(Share given, int callsBelow) {
-            share = given;
-            allowance = new AttemptAllowance(given, callsBelow);
-        }
-    }
-
     /** One attempt of a call at one backend server. */
-    private final class Attempt implements AnswerListener {
+    final class Attempt implements AnswerListener {
         private final long id = nextCall++;
         private final EntryCall call;
         private final Upstream upstream;
