--- a/node/src/main/java/org/plantainshunt/call/Connections.java
+++ b/node/src/main/java/org/plantainshunt/call/Connections.java
@@ -14,7 +14,7 @@
 import java.util.random.RandomGenerator;
 
 import org.plantainshunt.configuration.Vm;
-import org.plantainshunt.duty.Duty;
+import org.plantainshunt.duty.TaskRunner;
 import org.plantainshunt.protocol.InnerConnection;
 
 /**
@@ -31,7 +31,7 @@
     private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(3);
 
     private final Opener opener;
-    private final Duty duty;
+    private final TaskRunner duty;
     private final LongSupplier clock;
     private final RandomGenerator random;
     private final Consumer<Vm> onFailure;
@@ -40,7 +40,7 @@
     private double openings = OPENED_PER_SECOND;
     private long refilledAt;
 
-    Connections(Opener opener, Duty duty, LongSupplier clock, RandomGenerator random, Consumer<Vm> onFailure) {
+    Connections(Opener opener, TaskRunner duty, LongSupplier clock, RandomGenerator random, Consumer<Vm> onFailure) {
         this.opener = opener;
         this.duty = duty;
         this.clock = clock;
--- a/node/src/main/java/org/plantainshunt/duty/Duty.java
+++ b/node/src/main/java/org/plantainshunt/duty/Duty.java
@@ -22,7 +22,7 @@
  *
  * <p>Example: {@code duty.offer(() -> queue.add(call))} from an event loop.
  */
-public final class Duty implements AutoCloseable {
+public final class Duty implements TaskRunner, AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger(Duty.class);
     private static final int STOP_SECONDS = 2;
 
@@ -66,6 +66,7 @@
      *
      * <p>Runs the task at once if the caller is the duty's own thread, because waiting for room there would never end.
      */
+    @Override
     public void submit(Runnable task) {
         if (Thread.currentThread() == thread) {
             task.run();
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/call/FakeConnection.java
@@ -0,0 +1,159 @@
+package org.plantainshunt.call;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.plantainshunt.protocol.Announcement;
+import org.plantainshunt.protocol.AnswerListener;
+import org.plantainshunt.protocol.AnswerMessage;
+import org.plantainshunt.protocol.CallMessage;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.DocumentMessage;
+import org.plantainshunt.protocol.InnerConnection;
+import org.plantainshunt.protocol.LoadReport;
+import org.plantainshunt.protocol.RefusalMessage;
+import org.plantainshunt.protocol.TicketListener;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+
+/** A connection that delays messages and, when it is cut, loses some of those under way and delivers others. */
+final class FakeConnection implements InnerConnection {
+    private static final LoadReport NO_LOAD = new LoadReport(0, 0, Map.of());
+
+    private final FakeVm from;
+    private final FakeVm to;
+    private final long fromIncarnation;
+    private final long toIncarnation;
+    private final Map<Integer, Runnable> onCut = new HashMap<>();
+    private boolean open = true;
+    private int nextNumber;
+
+    FakeConnection(FakeVm from, FakeVm to) {
+        this.from = from;
+        this.to = to;
+        this.fromIncarnation = from.incarnation;
+        this.toIncarnation = to.incarnation;
+    }
+
+    @Override
+    public String peerVm() {
+        return to.name;
+    }
+
+    @Override
+    public long peerIncarnation() {
+        return toIncarnation;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return open;
+    }
+
+    @Override
+    public CancelHandle call(CallMessage message, AnswerListener listener) {
+        int number = nextNumber++;
+        if (!open) {
+            listener.refused(lost(ResultCode.CONNECT_FAILED, message));
+            return () -> {};
+        }
+        onCut.put(number, () -> listener.refused(lost(ResultCode.OUTCOME_UNKNOWN, message)));
+        CancelHandle[] remote = {() -> {}};
+        toPeer(() ->
+                remote[0] = to.serving.call(from.name, message, from.fleet.now(), new Returning(number, listener)));
+        return () -> toPeer(() -> remote[0].cancel());
+    }
+
+    @Override
+    public void requestTicket(String service, String kind, TicketListener listener) {
+        int number = nextNumber++;
+        Refusal refusal = Refusal.of(ResultCode.CONNECT_FAILED, "cut");
+        if (!open) {
+            listener.refused(refusal);
+            return;
+        }
+        onCut.put(number, () -> listener.refused(refusal));
+        toPeer(() -> to.serving.ticket(kind, new TicketListener() {
+            @Override
+            public void granted(String ticket) {
+                back(number, () -> listener.granted(ticket));
+            }
+
+            @Override
+            public void refused(Refusal reason) {
+                back(number, () -> listener.refused(reason));
+            }
+        }));
+    }
+
+    @Override
+    public void announce(Announcement announcement) {}
+
+    @Override
+    public void requestDocument(String documentKind) {}
+
+    @Override
+    public void sendDocument(DocumentMessage document) {}
+
+    @Override
+    public void sayDraining() {}
+
+    @Override
+    public void close() {
+        cut();
+    }
+
+    void cut() {
+        if (!open) {
+            return;
+        }
+        open = false;
+        from.fleet.log("cut " + from.name + " - " + to.name);
+        for (Runnable listener : onCut.values()) {
+            from.fleet.after(from.fleet.upToMilliseconds(3), () -> from.run(fromIncarnation, listener));
+        }
+        onCut.clear();
+    }
+
+    /** A message that was under way when the connection was cut arrives in half of the cases. */
+    private void toPeer(Runnable task) {
+        from.fleet.after(from.fleet.upToMilliseconds(3), () -> {
+            if (open || from.fleet.random.nextBoolean()) {
+                to.run(toIncarnation, task);
+            }
+        });
+    }
+
+    private void back(int number, Runnable task) {
+        from.fleet.after(from.fleet.upToMilliseconds(3), () -> {
+            if (open && onCut.remove(number) != null) {
+                from.run(fromIncarnation, task);
+            }
+        });
+    }
+
+    private static RefusalMessage lost(ResultCode code, CallMessage message) {
+        return new RefusalMessage(Refusal.of(code, "the connection was cut"), message.allowance(), NO_LOAD, false);
+    }
+
+    /** Brings the answer of the peer back. */
+    private final class Returning implements AnswerListener {
+        private final int number;
+        private final AnswerListener listener;
+
+        Returning(int number, AnswerListener listener) {
+            this.number = number;
+            this.listener = listener;
+        }
+
+        @Override
+        public void answered(AnswerMessage message) {
+            back(number, () -> listener.answered(message));
+        }
+
+        @Override
+        public void refused(RefusalMessage message) {
+            back(number, () -> listener.refused(message));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/call/FakeVm.java
@@ -0,0 +1,146 @@
+package org.plantainshunt.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+import org.plantainshunt.execution.TicketTable;
+import org.plantainshunt.membership.Membership;
+import org.plantainshunt.protocol.InnerConnection;
+import org.plantainshunt.routing.BackendServerChoice;
+
+/** A VM of the fake fleet: a node, which may be killed, frozen and started again, beside its backend server. */
+final class FakeVm {
+    private static final long TICK = 5 * FakeFleet.MILLISECOND;
+
+    final FakeFleet fleet;
+    final String name;
+    final String service;
+    final FakeBackendServer backendServer;
+    final List<FakeConnection> connections = new ArrayList<>();
+    long incarnation;
+    long frozenUntil;
+    EntrySide entry;
+    ServingSide serving;
+    private Membership membership;
+
+    FakeVm(FakeFleet fleet, String name, String service) {
+        this.fleet = fleet;
+        this.name = name;
+        this.service = service;
+        this.backendServer = new FakeBackendServer(this);
+    }
+
+    /** Starts a new process with nothing of the former one. */
+    void start() {
+        incarnation = fleet.random.nextLong(1, Long.MAX_VALUE);
+        long own = incarnation;
+        fleet.log(name + " starts as " + own);
+        CallContexts contexts = new CallContexts(fleet.random());
+        Environment environment =
+                new Environment(task -> run(own, task), fleet::now, new SilentRecorder(), HopTracer.off(), contexts);
+        membership = new Membership("one-1", dataCentre -> Optional.of("one"), any -> 4);
+        TicketTable tickets = new TicketTable(name, incarnation, 1000, fleet.document.policy(), fleet.random());
+        Connections pool = new Connections(
+                this::connect,
+                task -> run(own, task),
+                fleet::now,
+                fleet.random(),
+                vm -> membership.connectFailed(vm.name(), fleet.now()));
+        serving = new ServingSide(
+                new Decisions.Identity(name, service, "one-1", incarnation),
+                backendServer,
+                environment,
+                tickets,
+                Map::of);
+        entry = new EntrySide(
+                name,
+                serving,
+                environment,
+                membership,
+                pool,
+                new BackendServerChoice(fleet.random()),
+                new LinkBudgets("one-1"));
+        serving.configure(fleet.document);
+        entry.configure(fleet.document);
+        membership.vmList(fleet.list(), fleet.now());
+        tick(own);
+    }
+
+    /** Ends the process at once; what it knew is lost, and its connections break. */
+    void kill() {
+        fleet.log(name + " is killed");
+        incarnation = 0;
+        new ArrayList<>(connections).forEach(FakeConnection::cut);
+        connections.clear();
+        backendServer.nodeLost();
+    }
+
+    void freeze(long duration) {
+        fleet.log(name + " freezes for " + duration / FakeFleet.MILLISECOND + " ms");
+        frozenUntil = fleet.now() + duration;
+    }
+
+    /** Runs a task of the process with this incarnation: later if it is frozen, never if it is gone. */
+    void run(long ofIncarnation, Runnable task) {
+        if (ofIncarnation != incarnation) {
+            return;
+        }
+        if (fleet.now() < frozenUntil) {
+            fleet.after(frozenUntil - fleet.now(), () -> run(ofIncarnation, task));
+            return;
+        }
+        task.run();
+    }
+
+    /** Sends a request of a caller; the listener hears nothing if the process is gone. */
+    void call(String kind, String work, Optional<String> ticket, int attempt, ReplyListener reply) {
+        InboundCall inbound = new InboundCall(
+                "front",
+                kind,
+                "",
+                "POST",
+                List.of(),
+                work.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                work,
+                ticket,
+                OptionalLong.empty(),
+                attempt,
+                Optional.empty(),
+                "",
+                false,
+                fleet.now());
+        run(incarnation, () -> entry.call(inbound, reply));
+    }
+
+    private void tick(long own) {
+        run(own, () -> {
+            serving.tick(fleet.now());
+            entry.tick(fleet.now());
+            fleet.after(TICK, () -> tick(own));
+        });
+    }
+
+    private CompletableFuture<InnerConnection> connect(String address, int port) {
+        CompletableFuture<InnerConnection> result = new CompletableFuture<>();
+        FakeVm target = fleet.byPort(port);
+        long own = incarnation;
+        fleet.after(
+                fleet.upToMilliseconds(2),
+                () -> run(own, () -> {
+                    if (target.incarnation == 0) {
+                        result.completeExceptionally(new java.net.ConnectException("refused"));
+                        return;
+                    }
+                    FakeConnection connection = new FakeConnection(this, target);
+                    connections.add(connection);
+                    target.connections.add(connection);
+                    membership.greeted(target.name, target.incarnation, false, fleet.now());
+                    result.complete(connection);
+                }));
+        return result;
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/call/FaultScheduleTest.java
@@ -0,0 +1,139 @@
+package org.plantainshunt.call;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards at-most-once, honest refusals, whole answers and the retry bound against random schedules of kills, restarts,
+ * freezes, cuts and lost backend servers; jqwik prints the seed of a failing schedule.
+ */
+class FaultScheduleTest {
+    private static final int PUSHES = 30;
+    private static final int BROWSES = 30;
+    private static final int DELIVERIES = 4;
+    private static final int CALLS_IN_TREE = 3;
+    private static final int ALLOWANCE = 3;
+    private static final long LENGTH = 3_000 * FakeFleet.MILLISECOND;
+    private static final long SETTLED = 20_000 * FakeFleet.MILLISECOND;
+
+    @Property(tries = 150)
+    void pushesRunAtMostOnceAndVerdictsAreTrue(@ForAll long seed) throws Exception {
+        FakeFleet fleet = new FakeFleet(seed);
+        List<Push> pushes = new ArrayList<>();
+        for (int i = 0; i < PUSHES; i++) {
+            Push push = new Push(fleet, "push-" + i);
+            pushes.add(push);
+            fleet.after(fleet.random.nextLong(LENGTH), push::askForTicket);
+        }
+        scheduleFaults(fleet);
+        fleet.runUntil(SETTLED);
+        for (Push push : pushes) {
+            int runs = fleet.runs.getOrDefault(push.work, 0);
+            assertTrue(runs <= 1, () -> push.work + " ran " + runs + " times\n" + fleet.trace(push.work));
+            if (push.toldNotRun) {
+                assertEquals(0, runs, () -> push.work + " was told not run\n" + fleet.trace(push.work));
+            }
+            if (push.toldRun) {
+                assertEquals(1, runs, () -> push.work + " was told run\n" + fleet.trace(push.work));
+            }
+        }
+    }
+
+    @Property(tries = 150)
+    void retriesOfOneRequestAreBoundedOverTheChain(@ForAll long seed) throws Exception {
+        FakeFleet fleet = new FakeFleet(seed);
+        for (int i = 0; i < BROWSES; i++) {
+            String work = "browse-" + i;
+            fleet.after(fleet.random.nextLong(LENGTH), () -> fleet.randomVm()
+                    .call("browse", work, Optional.empty(), 1, reply -> checkWhole(work, reply)));
+        }
+        scheduleFaults(fleet);
+        fleet.runUntil(SETTLED);
+        fleet.runs.forEach((work, runs) -> assertTrue(
+                runs <= CALLS_IN_TREE + ALLOWANCE,
+                () -> work + " ran " + runs + " times in its tree\n" + fleet.trace(work)));
+    }
+
+    private static void checkWhole(String work, CallReply reply) {
+        if (reply.refusal().isEmpty()) {
+            assertEquals(work, new String(reply.body(), StandardCharsets.UTF_8), "an answer of another request");
+        }
+    }
+
+    private static void scheduleFaults(FakeFleet fleet) {
+        for (long time = 0; time < LENGTH; time += fleet.upToMilliseconds(200)) {
+            FakeVm vm = fleet.randomVm();
+            switch (fleet.random.nextInt(4)) {
+                case 0:
+                    fleet.after(time, vm::kill);
+                    fleet.after(time + fleet.upToMilliseconds(300), () -> restart(vm));
+                    break;
+                case 1:
+                    fleet.after(time, () -> vm.freeze(fleet.upToMilliseconds(1500)));
+                    break;
+                case 2:
+                    fleet.after(time, () -> new ArrayList<>(vm.connections).forEach(FakeConnection::cut));
+                    break;
+                default:
+                    fleet.after(time, () -> vm.backendServer.kill(fleet.upToMilliseconds(300)));
+                    break;
+            }
+        }
+    }
+
+    private static void restart(FakeVm vm) {
+        if (vm.incarnation == 0) {
+            vm.start();
+        }
+    }
+
+    /** A caller that repeats its push through any node until it knows the outcome or gives up. */
+    private static final class Push {
+        private final FakeFleet fleet;
+        private final String work;
+        private boolean toldNotRun;
+        private boolean toldRun;
+
+        Push(FakeFleet fleet, String work) {
+            this.fleet = fleet;
+            this.work = work;
+        }
+
+        void askForTicket() {
+            fleet.randomVm().call("push", work, Optional.empty(), 1, reply -> {
+                if (reply.code() == ResultCode.TICKET_REQUIRED) {
+                    deliver(reply.ticket().orElseThrow());
+                }
+            });
+        }
+
+        /** Sends the same ticket through several nodes, some of them at the same moment. */
+        private void deliver(String ticket) {
+            for (int i = 0; i < DELIVERIES; i++) {
+                int attempt = i + 1;
+                fleet.after(i * fleet.upToMilliseconds(400), () -> fleet.randomVm()
+                        .call("push", work, Optional.of(ticket), attempt, this::hear));
+            }
+        }
+
+        private void hear(CallReply reply) {
+            fleet.log(work + " hears " + reply.code() + " "
+                    + reply.refusal().map(Object::toString).orElse(""));
+            toldNotRun |= reply.code().runState() == RunState.NOT_RUN;
+            if (reply.refusal().isEmpty()) {
+                toldRun = true;
+                assertEquals(work, new String(reply.body(), StandardCharsets.UTF_8), "an answer of another request");
+            }
+        }
+    }
+}
