--- a/protocol/src/test/java/org/plantainshunt/protocol/FakeNode.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/FakeNode.java
@@ -1,29 +1,10 @@
 package org.plantainshunt.protocol;
 
 import java.io.IOException;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 
-import org.plantainshunt.result.Refusal;
-import org.plantainshunt.result.ResultCode;
-
-/** An endpoint on a loopback port whose handlers record what they get; replies are given by the test. */
-final class FakeNode implements AutoCloseable, CallHandler, PeerHandler {
-    static final int LARGEST_BODY = 1 << 20;
-    static final String SECRET = "test secret";
-    static final LoadReport LOAD = new LoadReport(3, 4, Map.of("recorder", 512));
-
-    final BlockingQueue<ReceivedCall> calls = new LinkedBlockingQueue<>();
-    final BlockingQueue<String> events = new LinkedBlockingQueue<>();
-    final BlockingQueue<DocumentMessage> documents = new LinkedBlockingQueue<>();
-    final BlockingQueue<InnerConnection> announcers = new LinkedBlockingQueue<>();
-    final BlockingQueue<TicketListener> tickets = new LinkedBlockingQueue<>();
+/** An endpoint on a loopback port with recording handlers. */
+final class FakeNode extends RecordingHandler implements AutoCloseable {
     final InnerEndpoint endpoint;
     final int port;
 
@@ -32,164 +13,16 @@
     }
 
     FakeNode(String vm, String secret) throws IOException {
-        endpoint = new InnerEndpoint(
-                new InnerSettings(vm, vm.hashCode(), secret, LARGEST_BODY, 2, () -> false, () -> 42), this, this);
+        endpoint = new InnerEndpoint(settings(vm, secret), this, this);
         port = endpoint.listen("127.0.0.1", 0);
     }
 
-    /** A call that the handler got. */
-    record ReceivedCall(String fromVm, CallMessage message, AnswerListener reply, AtomicBoolean cancelled) {
-        void answer(byte[] body) {
-            reply.answered(answerMessage(body));
-        }
-    }
-
-    static AnswerMessage answerMessage(byte[] body) {
-        return new AnswerMessage(ResultCode.ANSWERED, 201, List.of(new Header("Etag", "é")), body, 2, LOAD);
-    }
-
-    static CallMessage message(String path, byte[] body) {
-        return message(path, body, 20_000);
-    }
-
-    static CallMessage message(String path, byte[] body, long deadlineMilliseconds) {
-        return new CallMessage(
-                "recorder",
-                "lookup-bell",
-                path,
-                "POST",
-                List.of(new Header("Accept", "*/*")),
-                body,
-                "request-1",
-                511,
-                deadlineMilliseconds,
-                3,
-                Optional.of("vm-1.2.3"),
-                "00-01-02-01",
-                42);
-    }
-
     InnerConnection connectTo(FakeNode other) throws Exception {
         return endpoint.connect("127.0.0.1", other.port).get(5, TimeUnit.SECONDS);
     }
 
-    ReceivedCall nextCall() throws InterruptedException {
-        return next(calls);
-    }
-
-    static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
-        T element = queue.poll(5, TimeUnit.SECONDS);
-        if (element == null) {
-            throw new AssertionError("nothing arrived within 5 s");
-        }
-        return element;
-    }
-
-    @Override
-    public CancelHandle call(String fromVm, CallMessage call, AnswerListener reply) {
-        AtomicBoolean cancelled = new AtomicBoolean();
-        calls.add(new ReceivedCall(fromVm, call, reply, cancelled));
-        return () -> {
-            cancelled.set(true);
-            events.add("cancelled " + call.path());
-        };
-    }
-
-    @Override
-    public void ticket(String fromVm, String service, String kind, TicketListener reply) {
-        events.add("ticket " + fromVm + " " + service + " " + kind);
-        tickets.add(reply);
-    }
-
-    @Override
-    public void greeted(Greeting greeting) {
-        events.add("greeted " + greeting.vm() + " " + greeting.documentNumber());
-    }
-
-    @Override
-    public void draining(String vm, long incarnation) {
-        events.add("draining " + vm + " " + (incarnation == vm.hashCode()));
-    }
-
-    @Override
-    public void disconnected(String vm) {
-        events.add("disconnected " + vm);
-    }
-
-    @Override
-    public void announced(InnerConnection from, Announcement announcement) {
-        events.add("announced " + announcement);
-        announcers.add(from);
-    }
-
-    @Override
-    public void documentRequested(InnerConnection from, String documentKind) {
-        events.add("requested " + documentKind);
-    }
-
-    @Override
-    public void documentReceived(InnerConnection from, DocumentMessage document) {
-        documents.add(document);
-    }
-
     @Override
     public void close() {
         endpoint.close();
     }
-
-    /** Takes the end of one call and fails the test's wait if there is a second one. */
-    static final class Outcome implements AnswerListener, TicketListener {
-        private final CompletableFuture<Object> end = new CompletableFuture<>();
-        private final AtomicBoolean repeated = new AtomicBoolean();
-
-        @Override
-        public void answered(AnswerMessage answer) {
-            complete(answer);
-        }
-
-        @Override
-        public void refused(RefusalMessage refusal) {
-            complete(refusal);
-        }
-
-        @Override
-        public void granted(String ticket) {
-            complete(ticket);
-        }
-
-        @Override
-        public void refused(Refusal refusal) {
-            complete(refusal);
-        }
-
-        boolean isDone() {
-            return end.isDone();
-        }
-
-        AnswerMessage answer() throws Exception {
-            return (AnswerMessage) await();
-        }
-
-        RefusalMessage refusal() throws Exception {
-            return (RefusalMessage) await();
-        }
-
-        ResultCode code() throws Exception {
-            return refusal().refusal().code();
-        }
-
-        Object await() throws Exception {
-            Object value = end.get(15, TimeUnit.SECONDS);
-            if (repeated.get()) {
-                throw new AssertionError("the listener was called twice");
-            }
-            return value;
-        }
-
-        private void complete(Object value) {
-            if (!end.complete(value)) {
-                repeated.set(true);
-            }
-        }
-    }
 }
