Keep a connection usable when a callback or a write fails

An exception of a listener while the connection was lost would have kept the other open calls from ending, and one inside the write loop would have left the loop marked as scheduled for good. Callbacks now run guarded, and a failed write loop closes its connection.

The write loop also let a nested run start in the middle of a stream's turn. Only Netty's embedded channel nests tasks, so no real connection was affected; the mark now stays set for the whole loop.

--- a/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
@@ -91,11 +91,20 @@
         underWay.clear();
     }
 
+    /** Frames added meanwhile are seen by the loop; a flush that frees the channel schedules the next run. */
     private void write() {
-        scheduled = false;
-        boolean more = true;
-        while (more && channel.isActive() && channel.isWritable()) {
-            more = writeNext();
+        boolean completed = false;
+        try {
+            boolean more = true;
+            while (more && channel.isActive() && channel.isWritable()) {
+                more = writeNext();
+            }
+            completed = true;
+        } finally {
+            scheduled = false;
+            if (!completed) {
+                channel.close();
+            }
         }
         channel.flush();
     }
--- a/protocol/src/main/java/org/plantainshunt/protocol/IncomingCalls.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/IncomingCalls.java
@@ -104,7 +104,7 @@
             withdrawAnswer(call, call.answerStream().get());
             return;
         }
-        call.cancelHandle().get().cancel();
+        Callbacks.run(call.cancelHandle().get()::cancel);
     }
 
     void requestTicket(TicketRequest request) throws ProtocolException {
@@ -125,7 +125,7 @@
         tickets.clear();
         for (IncomingCall call : open) {
             if (!call.isCancelled() && call.answerStream().isEmpty()) {
-                call.cancelHandle().ifPresent(CancelHandle::cancel);
+                call.cancelHandle().ifPresent(handle -> Callbacks.run(handle::cancel));
             }
         }
     }
--- a/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCall.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCall.java
@@ -75,11 +75,11 @@
 
     void answered(AnswerMessage answer) {
         ended = true;
-        listener.answered(answer);
+        Callbacks.run(() -> listener.answered(answer));
     }
 
     void refused(RefusalMessage refusal) {
         ended = true;
-        listener.refused(refusal);
+        Callbacks.run(() -> listener.refused(refusal));
     }
 }
--- a/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
@@ -70,7 +70,7 @@
     void requestTicket(String service, String kind, TicketListener listener) {
         Optional<Refusal> obstacle = obstacle();
         if (obstacle.isPresent()) {
-            listener.refused(obstacle.get());
+            Callbacks.run(() -> listener.refused(obstacle.get()));
             return;
         }
         long number = takeNumber();
@@ -78,7 +78,8 @@
                 TicketRequest.newBuilder().setCall(number).setService(service).setKind(kind);
         Frame frame = Frame.newBuilder().setTicketRequest(request).build();
         if (!Frames.fits(frame)) {
-            listener.refused(Refusal.of(ResultCode.HEADER_TOO_LARGE, "the names of service and kind are too long"));
+            Refusal refusal = Refusal.of(ResultCode.HEADER_TOO_LARGE, "the names of service and kind are too long");
+            Callbacks.run(() -> listener.refused(refusal));
             return;
         }
         tickets.put(number, listener);
@@ -144,7 +145,7 @@
         if (ticket != null) {
             Refusal refusal = Wire.refusal(refused);
             tickets.remove(refused.getCall());
-            ticket.refused(refusal);
+            Callbacks.run(() -> ticket.refused(refusal));
             return;
         }
         OutgoingCall call = find(refused.getCall());
@@ -156,7 +157,7 @@
     void granted(TicketGrant grant) {
         TicketListener ticket = tickets.remove(grant.getCall());
         if (ticket != null) {
-            ticket.granted(grant.getTicket());
+            Callbacks.run(() -> ticket.granted(grant.getTicket()));
         }
     }
 
@@ -168,7 +169,7 @@
         calls.clear();
         tickets.clear();
         openCalls.forEach(call -> call.refused(lost(call)));
-        openTickets.forEach(ticket -> ticket.refused(connectFailed()));
+        openTickets.forEach(ticket -> Callbacks.run(() -> ticket.refused(connectFailed())));
     }
 
     private static RefusalMessage lost(OutgoingCall call) {
--- /dev/null
+++ b/protocol/src/test/java/org/plantainshunt/protocol/ConnectionTest.java
@@ -0,0 +1,256 @@
+package org.plantainshunt.protocol;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.protocol.RecordingHandler.Outcome;
+import org.plantainshunt.protocol.RecordingHandler.ReceivedCall;
+import org.plantainshunt.protocol.wire.CallEnd;
+import org.plantainshunt.protocol.wire.CallRefused;
+import org.plantainshunt.protocol.wire.Cancel;
+import org.plantainshunt.protocol.wire.Chunk;
+import org.plantainshunt.protocol.wire.DocumentPart;
+import org.plantainshunt.protocol.wire.Frame;
+import org.plantainshunt.protocol.wire.Frame.ContentCase;
+import org.plantainshunt.protocol.wire.TicketRequest;
+import org.plantainshunt.result.ResultCode;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards the order of frames on a connection, its limits, and its defence against a peer that breaks the rules. */
+class ConnectionTest {
+    private static final byte[] NOTHING = new byte[0];
+    private static final int MEBIBYTE = 1 << 20;
+
+    private final EmbeddedPeer peer = new EmbeddedPeer(1);
+
+    @Test
+    void smallAnswerWaitsForAtMostTwoChunksOfLargeOnes() throws Exception {
+        List<Long> numbers = List.of(2L, 4L, 6L, 8L, 10L);
+        for (long number : numbers) {
+            receiveWholeCall(number);
+            peer.blockAfter(0);
+            peer.handler.nextCall().answer(new byte[MEBIBYTE]);
+        }
+        peer.blockAfter(37);
+        peer.sent();
+        receiveWholeCall(12);
+        peer.handler.nextCall().answer(new byte[100]);
+        assertTrue(peer.sent().isEmpty());
+        peer.unblock();
+
+        List<Frame> frames = peer.sent();
+        int end = indexOfAnswerEnd(frames, 12);
+        long chunksAhead = frames.subList(0, end).stream()
+                .filter(frame -> frame.hasChunk() && frame.getChunk().getCall() != 12)
+                .count();
+        assertTrue(chunksAhead <= 2, chunksAhead + " chunks ahead");
+        for (long number : numbers) {
+            assertTrue(
+                    indexOfAnswerEnd(frames, number) > frames.size() - 30,
+                    number + " ends at " + indexOfAnswerEnd(frames, number) + " of " + frames.size());
+        }
+    }
+
+    @Test
+    void blockedChannelIsNotFilled() throws Exception {
+        receiveWholeCall(2);
+        peer.handler.nextCall().answer(new byte[MEBIBYTE]);
+        peer.blockAfter(3);
+        assertTrue(peer.sent().size() <= 5);
+        assertEquals(0, peer.channel.unsafe().outboundBuffer().totalPendingWriteBytes());
+    }
+
+    @Test
+    void unsentCallIsCancelledWithoutFrame() throws Exception {
+        peer.blockAfter(0);
+        Outcome outcome = new Outcome();
+        peer.connection.call(RecordingHandler.message("/", NOTHING), outcome).cancel();
+        peer.sent();
+        peer.unblock();
+        assertTrue(peer.sent().isEmpty());
+        assertEquals(ResultCode.CANCELLED_BEFORE_RUN, outcome.code());
+    }
+
+    @Test
+    void cancelStopsTheBody() {
+        peer.blockAfter(1);
+        Outcome outcome = new Outcome();
+        CancelHandle handle = peer.connection.call(RecordingHandler.message("/", new byte[MEBIBYTE]), outcome);
+        peer.sent();
+        handle.cancel();
+        peer.channel.runPendingTasks();
+        peer.unblock();
+        List<Frame> frames = peer.sent();
+        assertEquals(1, frames.size());
+        assertTrue(frames.get(0).hasCancel());
+        assertFalse(outcome.isDone());
+    }
+
+    @Test
+    void cancelInMidAnswerEndsTheCallAndIgnoresTheRest() throws Exception {
+        Outcome outcome = new Outcome();
+        CancelHandle handle = peer.connection.call(RecordingHandler.message("/", NOTHING), outcome);
+        peer.sent();
+        peer.receive(Wire.answerStart(1, RecordingHandler.answerMessage(new byte[5])));
+        handle.cancel();
+        peer.sent();
+        assertEquals(ResultCode.CANCELLED_RUNNING, outcome.code());
+        peer.receive(chunk(1));
+        assertTrue(peer.connection.isOpen());
+    }
+
+    @Test
+    void cancelledAnswerIsNotSentFurther() throws Exception {
+        receiveWholeCall(2);
+        peer.blockAfter(3);
+        peer.handler.nextCall().answer(new byte[MEBIBYTE]);
+        peer.sent();
+        peer.receive(cancel(2));
+        peer.unblock();
+        assertTrue(peer.sent().isEmpty());
+    }
+
+    @Test
+    void halfReceivedCallIsCancelledAsNotRun() {
+        peer.receive(Wire.callStart(2, RecordingHandler.message("/", new byte[10]), 1_000));
+        peer.receive(cancel(2));
+        peer.receive(chunk(2));
+        assertRefused(ResultCode.CANCELLED_BEFORE_RUN, 2);
+        assertTrue(peer.handler.calls.isEmpty());
+    }
+
+    @Test
+    void callsOverTheLimitAreRefusedAsNotRun() throws Exception {
+        for (long number = 2; number <= 2L * Connection.MAXIMUM_OPEN_CALLS; number += 2) {
+            receiveWholeCall(number);
+        }
+        long next = 2L * Connection.MAXIMUM_OPEN_CALLS + 2;
+        receiveWholeCall(next);
+        assertRefused(ResultCode.NODE_BUSY, next);
+        peer.receive(ticketRequest(next + 2));
+        assertRefused(ResultCode.NODE_BUSY, next + 2);
+
+        peer.handler.nextCall().answer(NOTHING);
+        peer.sent();
+        receiveWholeCall(next + 4);
+        assertTrue(peer.sent().isEmpty());
+        assertEquals(Connection.MAXIMUM_OPEN_CALLS, peer.handler.calls.size());
+    }
+
+    @Test
+    void announcedBytesAreBounded() {
+        byte[] largest = new byte[RecordingHandler.LARGEST_BODY];
+        for (int i = 1; i <= IncomingCalls.ANNOUNCED_BODIES; i++) {
+            peer.receive(Wire.callStart(2L * i, RecordingHandler.message("/", largest), 1_000));
+        }
+        assertTrue(peer.sent().isEmpty());
+        peer.receive(Wire.callStart(100, RecordingHandler.message("/", new byte[1]), 1_000));
+        assertRefused(ResultCode.NODE_BUSY, 100);
+        peer.receive(cancel(2));
+        assertRefused(ResultCode.CANCELLED_BEFORE_RUN, 2);
+        peer.receive(Wire.callStart(102, RecordingHandler.message("/", new byte[1]), 1_000));
+        assertTrue(peer.sent().isEmpty());
+        peer.receive(Wire.callStart(104, RecordingHandler.message("/", new byte[MEBIBYTE + 1]), 1_000));
+        assertRefused(ResultCode.BODY_TOO_LARGE, 104);
+    }
+
+    @Test
+    void peerThatReadsNothingIsClosed() {
+        peer.blockAfter(0);
+        for (int i = 0; i <= FrameWriter.MAXIMUM_WAITING_CONTROL_FRAMES; i++) {
+            assertTrue(peer.connection.isOpen());
+            peer.connection.sayDraining();
+            peer.channel.runPendingTasks();
+        }
+        assertFalse(peer.connection.isOpen());
+    }
+
+    @Test
+    void secondReplyOfTheHandlerIsIgnored() throws Exception {
+        receiveWholeCall(2);
+        ReceivedCall call = peer.handler.nextCall();
+        call.answer(NOTHING);
+        call.answer(NOTHING);
+        assertEquals(
+                List.of(ContentCase.ANSWER_START, ContentCase.ANSWER_END),
+                peer.sent().stream().map(Frame::getContentCase).toList());
+    }
+
+    @Test
+    void frameOutOfOrderClosesTheConnection() {
+        Frame start = Wire.callStart(2, RecordingHandler.message("/", NOTHING), 1_000);
+        assertCloses(start, start);
+        assertCloses(start, callEnd(2), callEnd(2));
+        assertCloses(start, callEnd(2), chunk(2));
+        assertCloses(Wire.callStart(1, RecordingHandler.message("/", NOTHING), 1_000));
+        assertCloses(Wire.callStart(0, RecordingHandler.message("/", NOTHING), 1_000));
+        assertCloses(Wire.callStart(2, RecordingHandler.message("/", NOTHING), -1));
+        assertCloses(chunk(2));
+        assertCloses(callEnd(2));
+        assertCloses(cancel(2));
+        assertCloses(Wire.answerStart(1, RecordingHandler.answerMessage(NOTHING)));
+        assertCloses(part(1, 10));
+        assertCloses(part(0, DocumentMessage.MAXIMUM_BYTES + 1));
+        assertCloses(part(0, 10), part(2, 10));
+        assertCloses(Frame.getDefaultInstance());
+    }
+
+    private static void assertCloses(Frame... frames) {
+        EmbeddedPeer victim = new EmbeddedPeer(1);
+        for (Frame frame : frames) {
+            assertTrue(victim.connection.isOpen(), "open before " + frame);
+            victim.receive(frame);
+        }
+        assertFalse(victim.connection.isOpen(), "closed by " + frames[frames.length - 1]);
+    }
+
+    private void assertRefused(ResultCode code, long number) {
+        List<Frame> frames = peer.sent();
+        assertEquals(1, frames.size());
+        CallRefused refused = frames.get(0).getCallRefused();
+        assertEquals(code.number(), refused.getCode());
+        assertEquals(number, refused.getCall());
+    }
+
+    private void receiveWholeCall(long number) {
+        peer.receive(Wire.callStart(number, RecordingHandler.message("/", NOTHING), 1_000));
+        peer.receive(callEnd(number));
+    }
+
+    private static int indexOfAnswerEnd(List<Frame> frames, long number) {
+        List<Long> ends = new ArrayList<>();
+        frames.forEach(
+                frame -> ends.add(frame.hasAnswerEnd() ? frame.getAnswerEnd().getCall() : -1));
+        return ends.indexOf(number);
+    }
+
+    private static Frame callEnd(long number) {
+        return Frame.newBuilder()
+                .setCallEnd(CallEnd.newBuilder().setCall(number))
+                .build();
+    }
+
+    private static Frame cancel(long number) {
+        return Frame.newBuilder().setCancel(Cancel.newBuilder().setCall(number)).build();
+    }
+
+    private static Frame chunk(long number) {
+        return Frame.newBuilder().setChunk(Chunk.newBuilder().setCall(number)).build();
+    }
+
+    private static Frame ticketRequest(long number) {
+        return Frame.newBuilder()
+                .setTicketRequest(TicketRequest.newBuilder().setCall(number))
+                .build();
+    }
+
+    private static Frame part(int offset, int total) {
+        return Frame.newBuilder()
+                .setDocumentPart(DocumentPart.newBuilder().setOffset(offset).setTotal(total))
+                .build();
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/plantainshunt/protocol/EmbeddedPeer.java
@@ -0,0 +1,97 @@
+package org.plantainshunt.protocol;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.plantainshunt.protocol.wire.Frame;
+
+/** A connection without a socket whose channel stops taking frames when the test says so. */
+final class EmbeddedPeer {
+    final RecordingHandler handler = new RecordingHandler();
+    final EmbeddedChannel channel = new EmbeddedChannel();
+    final Connection connection;
+    private int framesUntilBlocked = Integer.MAX_VALUE;
+
+    /**
+     * Creates the connection.
+     *
+     * @param firstCall 1 on the connecting side, 2 on the accepting side
+     */
+    EmbeddedPeer(int firstCall) {
+        channel.config()
+                .setOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(Frames.MAXIMUM_CHUNK_BYTES, 2 * Frames.MAXIMUM_CHUNK_BYTES));
+        InnerSettings settings = RecordingHandler.settings("vm-own", RecordingHandler.SECRET);
+        EndpointContext context = new EndpointContext(settings, handler, handler);
+        Greeting greeting = new Greeting("vm-peer", 5, false, 0);
+        connection = new Connection(channel, context, greeting, firstCall);
+        channel.pipeline().addLast(new Valve(), connection);
+        context.peers().opened(connection, greeting);
+    }
+
+    /** Lets the channel take only so many further frames. */
+    void blockAfter(int frames) {
+        framesUntilBlocked = frames;
+        setWritable(frames > 0);
+    }
+
+    void unblock() {
+        blockAfter(Integer.MAX_VALUE);
+    }
+
+    void receive(Frame frame) {
+        channel.writeInbound(frame);
+    }
+
+    /** Returns the frames sent since the last call. */
+    List<Frame> sent() {
+        channel.runPendingTasks();
+        List<Frame> frames = new ArrayList<>();
+        ByteBuf buffer = channel.readOutbound();
+        while (buffer != null) {
+            frames.add(decode(buffer));
+            buffer = channel.readOutbound();
+        }
+        return frames;
+    }
+
+    void cut() {
+        channel.close();
+        channel.runPendingTasks();
+    }
+
+    private static Frame decode(ByteBuf buffer) {
+        try {
+            return Frame.parseFrom(buffer.skipBytes(Frames.LENGTH_BYTES).nioBuffer());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        } finally {
+            buffer.release();
+        }
+    }
+
+    private void setWritable(boolean writable) {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
+    }
+
+    private final class Valve extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            context.write(message, promise);
+            framesUntilBlocked--;
+            if (framesUntilBlocked == 0) {
+                setWritable(false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/plantainshunt/protocol/WholeAnswerTest.java
@@ -0,0 +1,99 @@
+package org.plantainshunt.protocol;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.plantainshunt.protocol.RecordingHandler.Outcome;
+import org.plantainshunt.protocol.RecordingHandler.ReceivedCall;
+import org.plantainshunt.result.ResultCode;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards the promise that each call gets the whole answer to itself, whatever the order of the answers. */
+class WholeAnswerTest {
+    private static final int CALLS = 150;
+    private static final int LARGEST_BODY = 80_000;
+    private static final String CANCELLED = "/cancelled";
+
+    @Property(tries = 15)
+    void answersOutOfOrderReachTheirCalls(@ForAll long seed) throws Exception {
+        Random random = new Random(seed);
+        try (FakeNode entry = new FakeNode("vm-entry");
+                FakeNode serving = new FakeNode("vm-serving")) {
+            List<InnerConnection> connections = List.of(entry.connectTo(serving), entry.connectTo(serving));
+            List<Outcome> outcomes = new ArrayList<>();
+            List<Outcome> cancelled = new ArrayList<>();
+            for (int i = 0; i < CALLS; i++) {
+                InnerConnection connection = connections.get(random.nextInt(connections.size()));
+                Outcome outcome = new Outcome();
+                connection.call(RecordingHandler.message("/" + i, body(i, seed)), outcome);
+                outcomes.add(outcome);
+                if (random.nextInt(10) == 0) {
+                    cancelled.add(callAndCancel(connection));
+                }
+            }
+            answerInRandomOrder(serving, random, seed);
+            for (int i = 0; i < CALLS; i++) {
+                assertArrayEquals(body(-i - 1, seed), outcomes.get(i).answer().body());
+            }
+            for (Outcome outcome : cancelled) {
+                assertCancelled(outcome.code());
+            }
+        }
+    }
+
+    private static Outcome callAndCancel(InnerConnection connection) {
+        Outcome outcome = new Outcome();
+        connection
+                .call(RecordingHandler.message(CANCELLED, new byte[LARGEST_BODY]), outcome)
+                .cancel();
+        return outcome;
+    }
+
+    private static void assertCancelled(ResultCode code) {
+        ResultCode expected = code == ResultCode.CANCELLED_BEFORE_RUN ? code : ResultCode.CANCELLED_RUNNING;
+        assertEquals(expected, code);
+    }
+
+    /** Takes the calls in groups and answers each group in a random order. */
+    private static void answerInRandomOrder(FakeNode serving, Random random, long seed) throws InterruptedException {
+        List<ReceivedCall> group = new ArrayList<>();
+        int answered = 0;
+        while (answered < CALLS) {
+            ReceivedCall call = serving.nextCall();
+            if (call.message().path().equals(CANCELLED)) {
+                call.answer(new byte[1]);
+                continue;
+            }
+            answered++;
+            group.add(call);
+            if (random.nextInt(30) == 0 || answered == CALLS) {
+                Collections.shuffle(group, random);
+                group.forEach(each -> answer(each, seed));
+                group.clear();
+            }
+        }
+    }
+
+    private static void answer(ReceivedCall call, long seed) {
+        int number = Integer.parseInt(call.message().path().substring(1));
+        if (!Arrays.equals(body(number, seed), call.message().body())) {
+            throw new AssertionError("call " + number + " arrived with the body of another");
+        }
+        call.answer(body(-number - 1, seed));
+    }
+
+    /** Returns a body that differs between any two numbers. */
+    private static byte[] body(int number, long seed) {
+        Random random = new Random(seed * 31 + number);
+        byte[] body = new byte[random.nextInt(8, LARGEST_BODY)];
+        random.nextBytes(body);
+        return body;
+    }
+}
