Send what was given to an endpoint before it closes

close() dropped the frames that waited for the socket, so a planned stop could cut an answer that was given just before. It now sends what waits, ends its output and lets the peer close, for at most 5 s. Closing the socket right after the last write was ruled out: with unread bytes from the peer the kernel resets the connection.

--- a/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -114,6 +114,15 @@
         channel.close();
     }
 
+    /** Closes the connection after everything given to it so far has been sent. */
+    void closeWhenSent() {
+        run(writer::finish, () -> {});
+    }
+
+    boolean isOn(Channel other) {
+        return channel == other;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext handlerContext, Frame frame) throws ProtocolException {
         pingSent = false;
--- a/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.socket.DuplexChannel;
 import org.plantainshunt.protocol.wire.Frame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +32,7 @@
     private final Deque<OutgoingStream> underWay = new ArrayDeque<>();
     private boolean freshNext = true;
     private boolean scheduled;
+    private boolean finishing;
     private boolean closed;
 
     FrameWriter(Channel channel) {
@@ -72,7 +75,7 @@
 
     /** Returns whether frames are waiting for the socket. */
     boolean isWaiting() {
-        return !channel.isWritable() || !control.isEmpty() || !fresh.isEmpty() || !underWay.isEmpty();
+        return !channel.isWritable() || !isEmpty();
     }
 
     /** Writes on the next turn of the event loop, so that frames of the same turn share a system call. */
@@ -83,6 +86,12 @@
         }
     }
 
+    /** Ends the connection when all that waits now or is added meanwhile has been handed to the socket. */
+    void finish() {
+        finishing = true;
+        schedule();
+    }
+
     /** Drops everything that is waiting. */
     void close() {
         closed = true;
@@ -107,6 +116,26 @@
             }
         }
         channel.flush();
+        if (finishing && !closed && isEmpty()) {
+            closed = true;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> endOutput());
+        }
+    }
+
+    private boolean isEmpty() {
+        return control.isEmpty() && fresh.isEmpty() && underWay.isEmpty();
+    }
+
+    /**
+     * Tells the peer that nothing more follows; the peer then closes the connection. Closing it here could make the
+     * kernel reset it while the peer has not read everything.
+     */
+    private void endOutput() {
+        if (channel instanceof DuplexChannel socket) {
+            socket.shutdownOutput();
+        } else {
+            channel.close();
+        }
     }
 
     private boolean writeNext() {
--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -53,6 +53,7 @@
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(Frames.MAXIMUM_CHUNK_BYTES, 2 * Frames.MAXIMUM_CHUNK_BYTES);
 
+    /** Time for peers to take what was sent before the endpoint is closed, in seconds. */
     private static final long CLOSE_SECONDS = 5;
 
     private final EndpointContext context;
@@ -145,9 +146,15 @@
         context.peers().sayDraining();
     }
 
-    /** Closes all connections; open calls end as if their connections were lost. Waits for it at most 5 s. */
+    /**
+     * Stops listening and closes all connections. Answers and messages given before are still sent; open calls end as
+     * if their connections were lost. Waits for it, for at most 10 s, and must not be called from a callback.
+     */
     @Override
     public void close() {
+        channels.close(channel -> !context.peers().areOn(channel));
+        context.peers().closeWhenSent();
+        channels.newCloseFuture().awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
         channels.close();
         eventLoops
                 .shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS)
--- a/protocol/src/main/java/org/plantainshunt/protocol/Peers.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Peers.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.netty.channel.Channel;
+
 /**
  * The authenticated connections of an endpoint.
  *
@@ -46,4 +48,14 @@
         draining = true;
         connections.forEach(Connection::sayDraining);
     }
+
+    /** Closes all connections after everything given to them so far has been sent. */
+    synchronized void closeWhenSent() {
+        connections.forEach(Connection::closeWhenSent);
+    }
+
+    /** Returns whether a channel has passed its handshake and is open. */
+    synchronized boolean areOn(Channel channel) {
+        return connections.stream().anyMatch(connection -> connection.isOn(channel));
+    }
 }
--- a/protocol/src/test/java/org/plantainshunt/protocol/InnerEndpointTest.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/InnerEndpointTest.java
@@ -1,6 +1,8 @@
 package org.plantainshunt.protocol;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 
 import org.junit.jupiter.api.AfterEach;
@@ -203,6 +205,27 @@
         serving.awaitEvent("disconnected vm-entry");
     }
 
+    /** A planned stop must not cut the answers that were given just before it. */
+    @Test
+    void answersGivenBeforeTheEndpointIsClosedArrive() throws Exception {
+        InnerConnection connection = entry.connectTo(serving);
+        List<Outcome> outcomes = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Outcome outcome = new Outcome();
+            connection.call(RecordingHandler.message("/" + i, bytes(100_000)), outcome);
+            outcomes.add(outcome);
+        }
+        for (int i = 0; i < 8; i++) {
+            serving.nextCall().answer(bytes(RecordingHandler.LARGEST_BODY));
+        }
+        serving.close();
+        for (Outcome outcome : outcomes) {
+            assertArrayEquals(
+                    bytes(RecordingHandler.LARGEST_BODY), outcome.answer().body());
+        }
+        entry.awaitEvent("disconnected vm-serving");
+    }
+
     private static byte[] bytes(int length) {
         byte[] bytes = new byte[length];
         new Random(length).nextBytes(bytes);
