Add the command-line tool

Cause: operators need to check, compare and explain documents before they publish them, and to see the state of nodes.

A removed section now names what callers get.

Ruled out: a table library, because none is among the dependencies and aligned columns are a few lines.

--- /dev/null
+++ b/cli/src/main/java/org/plantainshunt/cli/CallTree.java
@@ -0,0 +1,69 @@
+package org.plantainshunt.cli;
+
+import java.math.BigInteger;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.Outcall;
+
+/**
+ * The calls that one request may cause, in the order of the document.
+ *
+ * <p>The calls below a kind are listed where the kind first appears, so the list is not longer than the calls that the
+ * document declares. Numbers are unbounded, because counts multiply at each of up to ten levels. Confined to one
+ * thread.
+ */
+final class CallTree {
+    private final Document document;
+    private final List<Call> calls = new ArrayList<>();
+    private final Set<Kind> expanded = new HashSet<>();
+
+    /**
+     * A call in the tree.
+     *
+     * @param level the number of calls above this one
+     * @param service the called service
+     * @param kind the called kind of request
+     * @param count the most such calls for one request of the kind above
+     * @param mostCalls the most such calls for one request that enters the system, without retries
+     * @param mostAttempts the same with all retries that the request is allowed
+     * @param listedAbove whether the calls below this one are listed at an earlier call
+     */
+    record Call(
+            int level,
+            String service,
+            String kind,
+            int count,
+            BigInteger mostCalls,
+            BigInteger mostAttempts,
+            boolean listedAbove) {}
+
+    private CallTree(Document document) {
+        this.document = document;
+    }
+
+    /** Lists the request itself and all calls below it. */
+    static List<Call> of(Document document, Kind kind) {
+        CallTree tree = new CallTree(document);
+        tree.add(kind, 0, 1, BigInteger.ONE);
+        return tree.calls;
+    }
+
+    private void add(Kind kind, int level, int count, BigInteger mostCalls) {
+        boolean first = expanded.add(kind);
+        boolean listedAbove = !first && !kind.calls().isEmpty();
+        BigInteger retries = BigInteger.valueOf(document.policy().retriesPerRequest());
+        calls.add(new Call(level, kind.service(), kind.name(), count, mostCalls, mostCalls.add(retries), listedAbove));
+        if (!first) {
+            return;
+        }
+        for (Outcall call : kind.calls()) {
+            Kind callee = document.kind(call.service(), call.kind()).orElseThrow();
+            add(callee, level + 1, call.count(), mostCalls.multiply(BigInteger.valueOf(call.count())));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/plantainshunt/cli/NodeStatus.java
@@ -0,0 +1,103 @@
+package org.plantainshunt.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * The state of one node.
+ *
+ * @param address the admin port that was asked
+ * @param failure why there is no answer; absent if there is one
+ * @param node the node's name
+ * @param service the service of its backend server
+ * @param state the node's state
+ * @param ready whether the node takes work
+ * @param configuration the version in force, 0 if there is none
+ * @param digest the digest of the document in force
+ * @param rejection why the last document was rejected; empty if it was not
+ * @param running the number of requests at the backend server
+ * @param waiting the number of requests in the queue
+ * @param limit the number of requests that may run at a time
+ * @param level the admission level, 0 to 512
+ * @param upstreams the backend servers that the node knows
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record NodeStatus(
+        String address,
+        String failure,
+        String node,
+        String service,
+        String state,
+        boolean ready,
+        long configuration,
+        String digest,
+        String rejection,
+        int running,
+        int waiting,
+        int limit,
+        int level,
+        List<UpstreamState> upstreams) {
+
+    /** The state of an upstream that the node may send work to. */
+    private static final String USABLE = "usable";
+
+    /**
+     * A backend server as the node sees it.
+     *
+     * @param vm the VM
+     * @param service the service
+     * @param state the state
+     */
+    record UpstreamState(String vm, String service, String state) {}
+
+    static NodeStatus unanswered(String address, String failure) {
+        return new NodeStatus(address, failure, "", "", "", false, 0, "", "", 0, 0, 0, 0, List.of());
+    }
+
+    /** Reads the answer of a node; fields that it lacks are empty or 0, so that other releases can be shown too. */
+    static NodeStatus of(String address, JsonNode status) {
+        JsonNode configuration = status.path("configuration");
+        List<UpstreamState> upstreams = new ArrayList<>();
+        for (JsonNode upstream : status.path("upstreams")) {
+            upstreams.add(new UpstreamState(text(upstream, "vm"), text(upstream, "service"), text(upstream, "state")));
+        }
+        return new NodeStatus(
+                address,
+                null,
+                text(status, "node"),
+                text(status, "service"),
+                text(status, "state"),
+                status.path("ready").asBoolean(),
+                configuration.path("number").asLong(),
+                text(configuration, "digest"),
+                text(configuration, "rejection"),
+                status.path("running").asInt(),
+                status.path("waiting").asInt(),
+                status.path("limit").asInt(),
+                status.path("level").asInt(),
+                upstreams);
+    }
+
+    private static String text(JsonNode parent, String field) {
+        JsonNode value = parent.path(field);
+        return value.isNull() ? "" : value.asText();
+    }
+
+    boolean answered() {
+        return failure == null;
+    }
+
+    /** Returns whether the node takes work and has rejected no document since the one in force. */
+    boolean inOrder() {
+        return ready && rejection.isEmpty();
+    }
+
+    long usableUpstreams() {
+        return upstreams.stream()
+                .filter(upstream -> upstream.state().equals(USABLE))
+                .count();
+    }
+}
--- a/core/src/main/java/org/plantainshunt/configuration/Document.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Document.java
@@ -22,6 +22,9 @@
  * }</pre>
  */
 public final class Document {
+    /** The largest document, in bytes, because the configuration service holds values up to this size. */
+    public static final int LARGEST_BYTES = 1_000_000;
+
     private final byte[] bytes;
     private final DocumentVersion version;
     private final DocumentContent content;
--- a/core/src/main/java/org/plantainshunt/configuration/DocumentChanges.java
+++ b/core/src/main/java/org/plantainshunt/configuration/DocumentChanges.java
@@ -146,7 +146,7 @@
     private <T> void compare(List<Property<T>> properties, Map<String, T> old, Map<String, T> next) {
         old.forEach((heading, value) -> {
             if (!next.containsKey(heading)) {
-                lines.add("[" + heading + "] removed");
+                lines.add("[" + heading + "] removed" + removalEffect(heading));
             }
         });
         next.forEach((heading, value) -> Optional.ofNullable(old.get(heading))
@@ -155,6 +155,15 @@
                         () -> addNew(properties, heading, value)));
     }
 
+    private static String removalEffect(String heading) {
+        return switch (heading.split(" ")[0]) {
+            case "service" -> " (its requests are refused with 1301)";
+            case "kind" -> " (its requests are refused with 1302)";
+            case "link" -> " (its traffic is no longer limited)";
+            default -> "";
+        };
+    }
+
     private <T> void compareValues(List<Property<T>> properties, String heading, T old, T next) {
         for (Property<T> property : properties) {
             String before = property.value().apply(old);
--- a/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
+++ b/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
@@ -24,17 +24,14 @@
  * such as {@code ${env:HOME}}, and the meaning of a document must depend on its bytes alone. Stateless.
  */
 final class SectionReader {
-    /** The configuration service holds values up to this size, in bytes. */
-    static final int LARGEST_DOCUMENT = 1_000_000;
-
     private SectionReader() {}
 
     /** Returns the sections that are free of errors of form, in the order of the document. */
     static List<Section> read(byte[] bytes, ErrorList errors) {
-        if (bytes.length > LARGEST_DOCUMENT) {
+        if (bytes.length > Document.LARGEST_BYTES) {
             errors.add(
                     DocumentErrorCode.DOCUMENT_TOO_LARGE,
-                    "the document has " + bytes.length + " bytes; shorten it to at most " + LARGEST_DOCUMENT);
+                    "the document is too large; shorten it to at most " + Document.LARGEST_BYTES + " bytes");
             return List.of();
         }
         try {
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/configuration/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The configuration document: its INI format, its model, its validation, and the order in which documents replace each
+ * other.
+ */
+package org.plantainshunt.configuration;
