--- a/core/src/main/java/org/plantainshunt/configuration/Unit.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Unit.java
@@ -53,7 +53,11 @@
         /** Returns what to write, for a message. */
         String advice() {
             List<String> symbols = units().stream().map(Unit::symbol).toList();
-            return "write a number with the unit " + String.join(" or ", symbols) + ", for example " + example;
+            int last = symbols.size() - 1;
+            String choice = last == 0
+                    ? symbols.get(0)
+                    : String.join(", ", symbols.subList(0, last)) + " or " + symbols.get(last);
+            return "write a number in " + choice + ", for example " + example;
         }
 
         /** Returns the units of the dimension, the smallest first. */
