--- a/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
+++ b/core/src/main/java/org/plantainshunt/configuration/SectionReader.java
@@ -24,6 +24,8 @@
  * such as {@code ${env:HOME}}, and the meaning of a document must depend on its bytes alone. Stateless.
  */
 final class SectionReader {
+    private static final String BYTE_ORDER_MARK = "\ufeff";
+
     private SectionReader() {}
 
     /** Returns the sections that are free of errors of form, in the order of the document. */
@@ -47,7 +49,7 @@
     }
 
     private static List<Section> sections(String text, ErrorList errors) {
-        LineScan scan = new LineScan(text, errors);
+        LineScan scan = new LineScan(withoutByteOrderMark(text, errors), errors);
         if (scan.sections().isEmpty() && errors.isEmpty()) {
             errors.add(DocumentErrorCode.EMPTY_DOCUMENT, "the document holds no section; write at least [document]");
             return List.of();
@@ -58,6 +60,16 @@
         return sections;
     }
 
+    /** A byte order mark is invisible in most editors, so it gets a message of its own. */
+    private static String withoutByteOrderMark(String text, ErrorList errors) {
+        if (!text.startsWith(BYTE_ORDER_MARK)) {
+            return text;
+        }
+        String message = "the document begins with a byte order mark; save it as UTF-8 without one";
+        errors.add(new DocumentError(1, "", "", DocumentErrorCode.MALFORMED_LINE, message));
+        return text.substring(1);
+    }
+
     private static Map<String, ImmutableNode> nodes(String text) {
         INIConfiguration ini = new INIConfiguration();
         try {
--- a/core/src/test/java/org/plantainshunt/configuration/DocumentErrorsTest.java
+++ b/core/src/test/java/org/plantainshunt/configuration/DocumentErrorsTest.java
@@ -123,6 +123,13 @@
         assertEquals(List.of(2, 7, 11, 12, 14, 15, 21), lines);
     }
 
+    @Test
+    void byteOrderMarksAreNamedInTheMessage() {
+        List<DocumentError> errors = errors("\ufeff" + VALID);
+        assertEquals(1, errors.size());
+        assertTrue(errors.get(0).message().contains("byte order mark"));
+    }
+
     @Test
     void malformedValuesAreNotReportedAsMissingToo() {
         assertEquals(1, errors(VALID.replace("version = 7", "version = '7'")).size());
