Add the caller stand-in with an open loop

Overload only shows in an open loop: a caller that waits for answers slows down with the server and hides the queue.

--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/KindLoad.java
@@ -0,0 +1,89 @@
+package org.plantainshunt.standins;
+
+import java.util.Locale;
+
+import org.plantainshunt.configuration.PriorityClass;
+
+/**
+ * The load of one kind of request, written {@code SERVICE/KIND=RATE}, optionally followed by {@code ,class=CLASS},
+ * {@code ,once}, {@code ,deadline=MS}, {@code ,size=BYTES} and {@code ,body=BYTES}.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param service the service called
+ * @param kind the kind of request
+ * @param priorityClass the class that results are counted under
+ * @param atMostOnce whether the kind runs at most once
+ * @param rate works per second
+ * @param deadlineMilliseconds time for a whole answer
+ * @param answerBytes filler of the answer, in bytes
+ * @param bodyBytes body of the request, in bytes
+ */
+public record KindLoad(
+        String service,
+        String kind,
+        PriorityClass priorityClass,
+        boolean atMostOnce,
+        double rate,
+        long deadlineMilliseconds,
+        int answerBytes,
+        int bodyBytes) {
+    private static final long DEFAULT_DEADLINE_MILLISECONDS = 2_000;
+    private static final int DEFAULT_ANSWER_BYTES = 512;
+
+    /** Returns the path of the kind without a leading slash. */
+    public String target() {
+        return service + "/" + kind;
+    }
+
+    /** Returns the same load at another rate in works per second. */
+    public KindLoad withRate(double other) {
+        return new KindLoad(
+                service, kind, priorityClass, atMostOnce, other, deadlineMilliseconds, answerBytes, bodyBytes);
+    }
+
+    /**
+     * Reads the written form.
+     *
+     * @throws IllegalArgumentException if the text has another form
+     */
+    static KindLoad parse(String text) {
+        String[] parts = text.split(",", -1);
+        String[] head = parts[0].split("[/=]", -1);
+        if (head.length != 3) {
+            throw new IllegalArgumentException("not a load of the form SERVICE/KIND=RATE: " + text);
+        }
+        KindLoad load = new KindLoad(
+                head[0],
+                head[1],
+                PriorityClass.STANDARD,
+                false,
+                Double.parseDouble(head[2]),
+                DEFAULT_DEADLINE_MILLISECONDS,
+                DEFAULT_ANSWER_BYTES,
+                0);
+        for (int index = 1; index < parts.length; index++) {
+            load = load.with(parts[index]);
+        }
+        return load;
+    }
+
+    private KindLoad with(String option) {
+        String[] parts = option.split("=", -1);
+        String value = parts.length > 1 ? parts[1] : "";
+        PriorityClass nextClass = priorityClass;
+        boolean nextOnce = atMostOnce;
+        long nextDeadline = deadlineMilliseconds;
+        int nextAnswer = answerBytes;
+        int nextBody = bodyBytes;
+        switch (parts[0]) {
+            case "class" -> nextClass = PriorityClass.valueOf(value.toUpperCase(Locale.ROOT));
+            case "once" -> nextOnce = true;
+            case "deadline" -> nextDeadline = Long.parseLong(value);
+            case "size" -> nextAnswer = Integer.parseInt(value);
+            case "body" -> nextBody = Integer.parseInt(value);
+            default -> throw new IllegalArgumentException("unknown option of a load: " + option);
+        }
+        return new KindLoad(service, kind, nextClass, nextOnce, rate, nextDeadline, nextAnswer, nextBody);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/LoadShape.java
@@ -0,0 +1,54 @@
+package org.plantainshunt.standins;
+
+/** How the offered rate varies over time: a factor on the rate of each kind, by seconds since the start. */
+@FunctionalInterface
+public interface LoadShape {
+    /** The rate does not vary. */
+    LoadShape STEADY = seconds -> 1;
+
+    /** Returns the factor at a time in seconds since the start; above 0. */
+    double factorAt(double seconds);
+
+    /**
+     * Returns a shape with another factor for a while.
+     *
+     * @param from when the factor begins, in seconds
+     * @param to when it ends, in seconds
+     * @param factor the factor in between
+     */
+    static LoadShape step(double from, double to, double factor) {
+        return seconds -> seconds >= from && seconds < to ? factor : 1;
+    }
+
+    /**
+     * Returns a shape that rises from 1 to a factor and falls back, in a straight line each way, over and over.
+     *
+     * @param rise how long a rise or a fall takes, in seconds
+     * @param factor the factor at the peak
+     */
+    static LoadShape swing(double rise, double factor) {
+        return seconds -> {
+            double phase = seconds / rise % 2;
+            return 1 + (factor - 1) * (phase < 1 ? phase : 2 - phase);
+        };
+    }
+
+    /**
+     * Reads {@code steady}, {@code step:FROM:TO:FACTOR} or {@code swing:RISE:FACTOR}.
+     *
+     * @throws IllegalArgumentException if the text has another form
+     */
+    static LoadShape parse(String text) {
+        String[] parts = text.split(":", -1);
+        if (parts[0].equals("steady") && parts.length == 1) {
+            return STEADY;
+        }
+        if (parts[0].equals("step") && parts.length == 4) {
+            return step(Double.parseDouble(parts[1]), Double.parseDouble(parts[2]), Double.parseDouble(parts[3]));
+        }
+        if (parts[0].equals("swing") && parts.length == 3) {
+            return swing(Double.parseDouble(parts[1]), Double.parseDouble(parts[2]));
+        }
+        throw new IllegalArgumentException("shape is not steady, step:FROM:TO:FACTOR or swing:RISE:FACTOR: " + text);
+    }
+}
