--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetDocument.java
@@ -0,0 +1,121 @@
+package org.plantainshunt.bench.fleet;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+import org.apache.commons.configuration2.Configuration;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.plantainshunt.configuration.DataCentre;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.Outcall;
+import org.plantainshunt.configuration.PriorityClass;
+
+/**
+ * The parts of a configuration document that a fleet is built from.
+ *
+ * <p>Reads a document that is known to be valid; the nodes validate it. Immutable and safe for use by any thread.
+ *
+ * @param bytes the document as served by the platform
+ * @param name the name of the document
+ * @param dataCentres the data centres in the order of the document
+ * @param services the services with the limits of one backend server
+ * @param kinds the kinds of requests
+ */
+public record FleetDocument(
+        byte[] bytes, String name, List<DataCentre> dataCentres, List<ServiceLimits> services, List<Kind> kinds) {
+    private static final int DEFAULT_SLOTS = 16;
+
+    /** Copies the lists. */
+    public FleetDocument {
+        dataCentres = List.copyOf(dataCentres);
+        services = List.copyOf(services);
+        kinds = List.copyOf(kinds);
+    }
+
+    /**
+     * The slots of one backend server.
+     *
+     * @param name the service
+     * @param slots how many requests run at the same time
+     */
+    public record ServiceLimits(String name, int slots) {}
+
+    /**
+     * Reads a document.
+     *
+     * @param bytes the INI text in UTF-8
+     * @throws IOException if the text is not a configuration document
+     */
+    public static FleetDocument read(byte[] bytes) throws IOException {
+        INIConfiguration ini = new INIConfiguration();
+        try (StringReader reader = new StringReader(new String(bytes, StandardCharsets.UTF_8))) {
+            ini.read(reader);
+        } catch (ConfigurationException failure) {
+            throw new IOException("not an INI document", failure);
+        }
+        List<DataCentre> dataCentres = new ArrayList<>();
+        List<ServiceLimits> services = new ArrayList<>();
+        List<Kind> kinds = new ArrayList<>();
+        for (String heading : ini.getSections()) {
+            if (heading == null) {
+                continue;
+            }
+            Configuration section = ini.getSection(heading);
+            String[] words = heading.split(" +");
+            switch (words[0]) {
+                case "data-centre" -> dataCentres.add(new DataCentre(words[1], section.getString("region")));
+                case "service" -> services.add(new ServiceLimits(words[1], section.getInt("slots", DEFAULT_SLOTS)));
+                case "kind" -> kinds.add(kind(words, section));
+                default -> {}
+            }
+        }
+        String name = ini.getSection("document").getString("name", "fleet");
+        return new FleetDocument(bytes.clone(), name, dataCentres, services, kinds);
+    }
+
+    /** Returns the kind of request with this name, if the document has it. */
+    public Optional<Kind> kind(String service, String name) {
+        return kinds.stream()
+                .filter(kind -> kind.service().equals(service) && kind.name().equals(name))
+                .findFirst();
+    }
+
+    private static Kind kind(String[] heading, Configuration section) throws IOException {
+        return new Kind(
+                heading[1],
+                heading[2],
+                PriorityClass.valueOf(section.getString("class").toUpperCase(Locale.ROOT)),
+                section.getString("runs").equals("at-most-once"),
+                duration(section.getString("deadline")),
+                calls(section.getString("calls", "")));
+    }
+
+    private static List<Outcall> calls(String text) {
+        List<Outcall> calls = new ArrayList<>();
+        for (String call : text.split(",", -1)) {
+            if (!call.isBlank()) {
+                String[] words = call.strip().split(" +");
+                calls.add(new Outcall(words[0], words[1], Integer.parseInt(words[2].substring(1))));
+            }
+        }
+        return calls;
+    }
+
+    private static Duration duration(String text) throws IOException {
+        String[] words = text.strip().split(" +");
+        long amount = Long.parseLong(words[0]);
+        return switch (words[1]) {
+            case "ms" -> Duration.ofMillis(amount);
+            case "s" -> Duration.ofSeconds(amount);
+            case "min" -> Duration.ofMinutes(amount);
+            default -> throw new IOException("unknown unit of time: " + text);
+        };
+    }
+}
