Bound retries of a request also where calls repeat or outlive it

Cause 1: the inner protocol did not say that a call repeats one that may have run, so each repeat ran the declared calls below it again for the price of one retry. Cause 2: a call with the context of a request that had ended was taken as a new request, so calls of a backend server that was given up escaped the bound. Change: CallStart carries the flag and the sender's clock; calls with an unknown context are refused with 1109. The receiver measures how much longer than usual a call was under way and takes it from the deadline, so that a process that was paused does not start work that is late (TransitDelayTest).

--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -93,13 +93,18 @@
 
     /** Prepares a call that a backend server makes: it belongs to the request that runs there. */
     private Optional<Refusal> inherit(EntryCall call) {
-        Optional<CallContexts.Context> context = call.inbound.context().flatMap(environment.contexts()::find);
-        if (context.isEmpty()) {
+        if (call.inbound.context().isEmpty()) {
             // Without its context a call cannot share the request's allowance, so it gets none.
             call.priority = rootPriority(call);
             call.allow(new Share(0, false), callsBelow(call.kind));
             return Optional.empty();
         }
+        Optional<CallContexts.Context> context =
+                environment.contexts().find(call.inbound.context().get());
+        if (context.isEmpty()) {
+            // Taken as a new request, calls for a request that has ended would escape its bound on retries.
+            return refusal(ResultCode.CANCELLED_BEFORE_RUN, "the request that this call is made for has ended");
+        }
         call.parent = context;
         call.requestId = context.get().requestId();
         call.priority = context.get().priority();
--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -112,7 +112,7 @@
         if (!taken) {
             Refusal refusal = Refusal.of(ResultCode.NODE_BUSY, "the ring of decisions is full");
             LoadReport none = new LoadReport(0, 0, Map.of());
-            reply.refused(new RefusalMessage(refusal, message.allowance(), none, true));
+            reply.refused(new RefusalMessage(refusal, message.share().allowance(), none, true));
         }
         return cancel;
     }
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -230,7 +230,7 @@
                 call.requestId,
                 call.priority.value(),
                 left,
-                attempt.share.allowance(),
+                attempt.share,
                 inbound.ticket(),
                 call.hop.traceParent(),
                 preparation.document().map(known -> known.version().number()).orElse(0L));
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -95,7 +95,7 @@
         Optional<Kind> kind = document.flatMap(known -> known.kind(message.service(), message.kind()));
         Optional<Refusal> problem = problem(message, kind);
         if (problem.isPresent()) {
-            refuse(reply, problem.get(), message.allowance());
+            refuse(reply, problem.get(), message.share().allowance());
             return () -> {};
         }
         long deadline = arrived + TimeUnit.MILLISECONDS.toNanos(message.deadlineMilliseconds());
@@ -230,7 +230,10 @@
                 replay(call, use.outcome().orElseThrow());
                 return false;
             default:
-                refuse(call.waiters.get(0), use.refusal().orElseThrow(), call.message.allowance());
+                refuse(
+                        call.waiters.get(0),
+                        use.refusal().orElseThrow(),
+                        call.message.share().allowance());
                 return false;
         }
     }
@@ -248,7 +251,7 @@
                         outcome.status(),
                         headers,
                         outcome.body(),
-                        call.message.allowance(),
+                        call.message.share().allowance(),
                         load()));
     }
 
@@ -271,7 +274,7 @@
         CallMessage message = call.message;
         call.handedOver = true;
         call.hop = environment.tracer().begin("serving", message.service(), message.kind(), message.traceParent());
-        call.ledger = new AllowanceLedger(message.allowance(), call.kind.calls());
+        call.ledger = AllowanceLedger.of(message.share(), call.kind.calls());
         call.context = environment
                 .contexts()
                 .open(new CallContexts.Context(
@@ -417,7 +420,7 @@
 
     private void replyRefused(ServedCall call, Refusal refusal, long now) {
         call.replied = true;
-        int unused = call.ledger == null ? call.message.allowance() : call.ledger.close();
+        int unused = call.ledger == null ? call.message.share().allowance() : call.ledger.close();
         call.takeWaiters().forEach(waiter -> refuse(waiter, refusal, unused));
         if (call.hop != null) {
             call.hop.end(call.message.requestId(), refusal.code());
--- a/node/src/test/java/org/plantainshunt/call/FakeConnection.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeConnection.java
@@ -133,7 +133,8 @@
     }
 
     private static RefusalMessage lost(ResultCode code, CallMessage message) {
-        return new RefusalMessage(Refusal.of(code, "the connection was cut"), message.allowance(), NO_LOAD, false);
+        return new RefusalMessage(
+                Refusal.of(code, "the connection was cut"), message.share().allowance(), NO_LOAD, false);
     }
 
     /** Brings the answer of the peer back. */
--- a/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.plantainshunt.retry.Share;
+
 /**
  * A call on its way from an entry node to a serving node. The body is not copied and must not be changed.
  *
@@ -16,7 +18,8 @@
  * @param requestId identity of the first request of the call chain
  * @param priority 0 (most important) to 511
  * @param deadlineMilliseconds time left, in milliseconds; the time a call waits for the socket is subtracted
- * @param allowance retries that may be spent on this call and the calls below it
+ * @param share retries that may be spent on this call and the calls below it, and whether it repeats one that may have
+ *     run
  * @param ticket ticket of a call that runs at most once
  * @param traceParent W3C trace context; empty if there is none
  * @param documentNumber version of the configuration in force at the sender; 0 if there is none
@@ -31,7 +34,7 @@
         String requestId,
         int priority,
         long deadlineMilliseconds,
-        int allowance,
+        Share share,
         Optional<String> ticket,
         String traceParent,
         long documentNumber) {
@@ -43,9 +46,7 @@
         if (priority < 0 || priority > HIGHEST_PRIORITY_VALUE) {
             throw new IllegalArgumentException("priority " + priority + " is not in 0 to 511");
         }
-        if (allowance < 0) {
-            throw new IllegalArgumentException("allowance " + allowance + " is negative");
-        }
+        Objects.requireNonNull(share, "share");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(path, "path");
--- a/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -44,13 +44,13 @@
      *
      * @param firstCall 1 on the connecting side, 2 on the accepting side
      */
-    Connection(Channel channel, EndpointContext context, Greeting peer, int firstCall) {
+    Connection(Channel channel, EndpointContext context, Greeting peer, TransitDelay transit, int firstCall) {
         this.channel = channel;
         this.context = context;
         this.peer = peer;
         this.writer = new FrameWriter(channel);
         this.outgoing = new OutgoingCalls(writer, context.settings().maximumBodyBytes(), firstCall);
-        this.incoming = new IncomingCalls(writer, context, peer.vm(), task -> run(task, () -> {}));
+        this.incoming = new IncomingCalls(writer, context, peer.vm(), transit, task -> run(task, () -> {}));
         this.documents = new DocumentTransfer(writer);
     }
 
--- a/protocol/src/main/java/org/plantainshunt/protocol/ConnectionSetup.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/ConnectionSetup.java
@@ -25,7 +25,8 @@
             int firstCall) {
         decoder.peerAuthenticated();
         Greeting greeting = Wire.greeting(identity);
-        Connection connection = new Connection(handshake.channel(), context, greeting, firstCall);
+        TransitDelay transit = new TransitDelay(identity.getClockNanoseconds(), System.nanoTime());
+        Connection connection = new Connection(handshake.channel(), context, greeting, transit, firstCall);
         handshake
                 .pipeline()
                 .addFirst(new IdleStateHandler(SILENCE_SECONDS, 0, 0, TimeUnit.SECONDS))
--- a/protocol/src/main/java/org/plantainshunt/protocol/IncomingCall.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/IncomingCall.java
@@ -11,13 +11,20 @@
     private final CallStart start;
     private final BodyAssembly body;
     private final long startedNanoseconds = System.nanoTime();
+    private final long delayNanoseconds;
     private CancelHandle cancelHandle;
     private AnswerMessage answer;
     private BodyStream answerStream;
     private boolean cancelled;
 
-    IncomingCall(CallStart start) {
+    /**
+     * Creates a call whose body is empty so far.
+     *
+     * @param delayNanoseconds how much longer than usual the call was under way
+     */
+    IncomingCall(CallStart start, long delayNanoseconds) {
         this.start = start;
+        this.delayNanoseconds = delayNanoseconds;
         this.body = new BodyAssembly(start.getBodyLength());
     }
 
@@ -33,9 +40,9 @@
         return body;
     }
 
-    /** Returns the time since the call began to arrive, in milliseconds. */
+    /** Returns the time since the call should have begun to arrive, in milliseconds. */
     long elapsedMilliseconds() {
-        return (System.nanoTime() - startedNanoseconds) / NANOSECONDS_PER_MILLISECOND;
+        return (System.nanoTime() - startedNanoseconds + delayNanoseconds) / NANOSECONDS_PER_MILLISECOND;
     }
 
     void handedOver(CancelHandle handle) {
--- a/protocol/src/main/java/org/plantainshunt/protocol/IncomingCalls.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/IncomingCalls.java
@@ -44,6 +44,7 @@
     private final EndpointContext context;
     private final String peerVm;
     private final Consumer<Runnable> eventLoop;
+    private final TransitDelay transit;
     private final Map<Long, IncomingCall> calls = new HashMap<>();
     private final Set<Long> tickets = new HashSet<>();
     private long highestNumber;
@@ -53,9 +54,16 @@
     /**
      * Creates an empty table.
      *
+     * @param transit measures how long calls are under way
      * @param eventLoop runs a task on the event loop; drops it if the connection is gone for good
      */
-    IncomingCalls(FrameWriter writer, EndpointContext context, String peerVm, Consumer<Runnable> eventLoop) {
+    IncomingCalls(
+            FrameWriter writer,
+            EndpointContext context,
+            String peerVm,
+            TransitDelay transit,
+            Consumer<Runnable> eventLoop) {
+        this.transit = transit;
         this.writer = writer;
         this.context = context;
         this.peerVm = peerVm;
@@ -71,7 +79,9 @@
             return;
         }
         announcedBytes += start.getBodyLength();
-        calls.put(start.getCall(), new IncomingCall(start));
+        calls.put(
+                start.getCall(),
+                new IncomingCall(start, transit.excess(start.getSentNanoseconds(), System.nanoTime())));
     }
 
     void chunk(Chunk chunk) throws ProtocolException {
--- a/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
@@ -188,7 +188,7 @@
 
     /** Makes the refusal of a call that was never sent, so that its allowance is unspent. */
     static RefusalMessage unsent(OutgoingCall call, Refusal refusal) {
-        return local(refusal, call.message().allowance());
+        return local(refusal, call.message().share().allowance());
     }
 
     private static RefusalMessage local(Refusal refusal, int unusedAllowance) {
--- a/protocol/src/main/java/org/plantainshunt/protocol/Wire.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Wire.java
@@ -13,6 +13,7 @@
 import org.plantainshunt.protocol.wire.Load;
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.retry.Share;
 
 /** Converts between the messages and the frames. */
 final class Wire {
@@ -27,6 +28,7 @@
                 .setIncarnation(settings.incarnation())
                 .setDraining(settings.draining().get())
                 .setDocumentNumber(settings.documentNumber().getAsLong())
+                .setClockNanoseconds(System.nanoTime())
                 .build();
     }
 
@@ -47,7 +49,9 @@
                 .setRequestId(message.requestId())
                 .setPriority(message.priority())
                 .setDeadlineMilliseconds(deadlineMilliseconds)
-                .setAllowance(message.allowance())
+                .setAllowance(message.share().allowance())
+                .setRepeat(message.share().repeat())
+                .setSentNanoseconds(System.nanoTime())
                 .setTraceParent(message.traceParent())
                 .setDocumentNumber(message.documentNumber());
         message.ticket().ifPresent(start::setTicket);
@@ -65,7 +69,7 @@
                 start.getRequestId(),
                 start.getPriority(),
                 Math.max(0, start.getDeadlineMilliseconds() - elapsedMilliseconds),
-                start.getAllowance(),
+                new Share(start.getAllowance(), start.getRepeat()),
                 start.hasTicket() ? Optional.of(start.getTicket()) : Optional.empty(),
                 start.getTraceParent(),
                 start.getDocumentNumber());
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStart.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStart.java
@@ -448,6 +448,36 @@
     return documentNumber_;
   }
 
+  public static final int REPEAT_FIELD_NUMBER = 15;
+  private boolean repeat_ = false;
+  /**
+   * <pre>
+   * Whether the call repeats one that may have run, so that no call below it is free of the allowance.
+   * </pre>
+   *
+   * <code>bool repeat = 15;</code>
+   * @return The repeat.
+   */
+  @java.lang.Override
+  public boolean getRepeat() {
+    return repeat_;
+  }
+
+  public static final int SENT_NANOSECONDS_FIELD_NUMBER = 16;
+  private long sentNanoseconds_ = 0L;
+  /**
+   * <pre>
+   * Monotonic clock of the sender when the frame was written; only differences to other frames have a meaning.
+   * </pre>
+   *
+   * <code>sfixed64 sent_nanoseconds = 16;</code>
+   * @return The sentNanoseconds.
+   */
+  @java.lang.Override
+  public long getSentNanoseconds() {
+    return sentNanoseconds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -504,6 +534,12 @@
     if (documentNumber_ != 0L) {
       output.writeInt64(14, documentNumber_);
     }
+    if (repeat_ != false) {
+      output.writeBool(15, repeat_);
+    }
+    if (sentNanoseconds_ != 0L) {
+      output.writeSFixed64(16, sentNanoseconds_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -562,6 +598,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(14, documentNumber_);
     }
+    if (repeat_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(15, repeat_);
+    }
+    if (sentNanoseconds_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(16, sentNanoseconds_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -608,6 +652,10 @@
         .equals(other.getTraceParent())) return false;
     if (getDocumentNumber()
         != other.getDocumentNumber()) return false;
+    if (getRepeat()
+        != other.getRepeat()) return false;
+    if (getSentNanoseconds()
+        != other.getSentNanoseconds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -654,6 +702,12 @@
     hash = (37 * hash) + DOCUMENT_NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDocumentNumber());
+    hash = (37 * hash) + REPEAT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRepeat());
+    hash = (37 * hash) + SENT_NANOSECONDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentNanoseconds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -809,6 +863,8 @@
       ticket_ = "";
       traceParent_ = "";
       documentNumber_ = 0L;
+      repeat_ = false;
+      sentNanoseconds_ = 0L;
       return this;
     }
 
@@ -896,6 +952,12 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.documentNumber_ = documentNumber_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.repeat_ = repeat_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.sentNanoseconds_ = sentNanoseconds_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -990,6 +1052,12 @@
       if (other.getDocumentNumber() != 0L) {
         setDocumentNumber(other.getDocumentNumber());
       }
+      if (other.getRepeat() != false) {
+        setRepeat(other.getRepeat());
+      }
+      if (other.getSentNanoseconds() != 0L) {
+        setSentNanoseconds(other.getSentNanoseconds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1094,6 +1162,16 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 120: {
+              repeat_ = input.readBool();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
+            case 129: {
+              sentNanoseconds_ = input.readSFixed64();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 129
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2066,6 +2144,94 @@
       return this;
     }
 
+    private boolean repeat_ ;
+    /**
+     * <pre>
+     * Whether the call repeats one that may have run, so that no call below it is free of the allowance.
+     * </pre>
+     *
+     * <code>bool repeat = 15;</code>
+     * @return The repeat.
+     */
+    @java.lang.Override
+    public boolean getRepeat() {
+      return repeat_;
+    }
+    /**
+     * <pre>
+     * Whether the call repeats one that may have run, so that no call below it is free of the allowance.
+     * </pre>
+     *
+     * <code>bool repeat = 15;</code>
+     * @param value The repeat to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRepeat(boolean value) {
+
+      repeat_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the call repeats one that may have run, so that no call below it is free of the allowance.
+     * </pre>
+     *
+     * <code>bool repeat = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRepeat() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      repeat_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long sentNanoseconds_ ;
+    /**
+     * <pre>
+     * Monotonic clock of the sender when the frame was written; only differences to other frames have a meaning.
+     * </pre>
+     *
+     * <code>sfixed64 sent_nanoseconds = 16;</code>
+     * @return The sentNanoseconds.
+     */
+    @java.lang.Override
+    public long getSentNanoseconds() {
+      return sentNanoseconds_;
+    }
+    /**
+     * <pre>
+     * Monotonic clock of the sender when the frame was written; only differences to other frames have a meaning.
+     * </pre>
+     *
+     * <code>sfixed64 sent_nanoseconds = 16;</code>
+     * @param value The sentNanoseconds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentNanoseconds(long value) {
+
+      sentNanoseconds_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Monotonic clock of the sender when the frame was written; only differences to other frames have a meaning.
+     * </pre>
+     *
+     * <code>sfixed64 sent_nanoseconds = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentNanoseconds() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      sentNanoseconds_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:plantainshunt.protocol.CallStart)
   }
 
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStartOrBuilder.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStartOrBuilder.java
@@ -162,4 +162,24 @@
    * @return The documentNumber.
    */
   long getDocumentNumber();
+
+  /**
+   * <pre>
+   * Whether the call repeats one that may have run, so that no call below it is free of the allowance.
+   * </pre>
+   *
+   * <code>bool repeat = 15;</code>
+   * @return The repeat.
+   */
+  boolean getRepeat();
+
+  /**
+   * <pre>
+   * Monotonic clock of the sender when the frame was written; only differences to other frames have a meaning.
+   * </pre>
+   *
+   * <code>sfixed64 sent_nanoseconds = 16;</code>
+   * @return The sentNanoseconds.
+   */
+  long getSentNanoseconds();
 }
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/Identity.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/Identity.java
@@ -116,6 +116,21 @@
     return documentNumber_;
   }
 
+  public static final int CLOCK_NANOSECONDS_FIELD_NUMBER = 5;
+  private long clockNanoseconds_ = 0L;
+  /**
+   * <pre>
+   * Monotonic clock of the sender; see CallStart.sent_nanoseconds.
+   * </pre>
+   *
+   * <code>sfixed64 clock_nanoseconds = 5;</code>
+   * @return The clockNanoseconds.
+   */
+  @java.lang.Override
+  public long getClockNanoseconds() {
+    return clockNanoseconds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -142,6 +157,9 @@
     if (documentNumber_ != 0L) {
       output.writeInt64(4, documentNumber_);
     }
+    if (clockNanoseconds_ != 0L) {
+      output.writeSFixed64(5, clockNanoseconds_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -166,6 +184,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, documentNumber_);
     }
+    if (clockNanoseconds_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(5, clockNanoseconds_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -189,6 +211,8 @@
         != other.getDraining()) return false;
     if (getDocumentNumber()
         != other.getDocumentNumber()) return false;
+    if (getClockNanoseconds()
+        != other.getClockNanoseconds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -211,6 +235,9 @@
     hash = (37 * hash) + DOCUMENT_NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDocumentNumber());
+    hash = (37 * hash) + CLOCK_NANOSECONDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getClockNanoseconds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -346,6 +373,7 @@
       incarnation_ = 0L;
       draining_ = false;
       documentNumber_ = 0L;
+      clockNanoseconds_ = 0L;
       return this;
     }
 
@@ -391,6 +419,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.documentNumber_ = documentNumber_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.clockNanoseconds_ = clockNanoseconds_;
+      }
     }
 
     @java.lang.Override
@@ -419,6 +450,9 @@
       if (other.getDocumentNumber() != 0L) {
         setDocumentNumber(other.getDocumentNumber());
       }
+      if (other.getClockNanoseconds() != 0L) {
+        setClockNanoseconds(other.getClockNanoseconds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -465,6 +499,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 41: {
+              clockNanoseconds_ = input.readSFixed64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 41
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -650,6 +689,50 @@
       return this;
     }
 
+    private long clockNanoseconds_ ;
+    /**
+     * <pre>
+     * Monotonic clock of the sender; see CallStart.sent_nanoseconds.
+     * </pre>
+     *
+     * <code>sfixed64 clock_nanoseconds = 5;</code>
+     * @return The clockNanoseconds.
+     */
+    @java.lang.Override
+    public long getClockNanoseconds() {
+      return clockNanoseconds_;
+    }
+    /**
+     * <pre>
+     * Monotonic clock of the sender; see CallStart.sent_nanoseconds.
+     * </pre>
+     *
+     * <code>sfixed64 clock_nanoseconds = 5;</code>
+     * @param value The clockNanoseconds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClockNanoseconds(long value) {
+
+      clockNanoseconds_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Monotonic clock of the sender; see CallStart.sent_nanoseconds.
+     * </pre>
+     *
+     * <code>sfixed64 clock_nanoseconds = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClockNanoseconds() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      clockNanoseconds_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:plantainshunt.protocol.Identity)
   }
 
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/IdentityOrBuilder.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/IdentityOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The documentNumber.
    */
   long getDocumentNumber();
+
+  /**
+   * <pre>
+   * Monotonic clock of the sender; see CallStart.sent_nanoseconds.
+   * </pre>
+   *
+   * <code>sfixed64 clock_nanoseconds = 5;</code>
+   * @return The clockNanoseconds.
+   */
+  long getClockNanoseconds();
 }
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/InnerProtocol.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/InnerProtocol.java
@@ -190,47 +190,48 @@
       "ocol.Identity\022\013\n\003mac\030\004 \001(\014\"J\n\007Welcome\0222\n" +
       "\010identity\030\001 \001(\0132 .plantainshunt.protocol" +
       ".Identity\022\013\n\003mac\030\002 \001(\014\"0\n\020HandshakeRefus" +
-      "ed\022\014\n\004code\030\001 \001(\005\022\016\n\006detail\030\002 \001(\t\"V\n\010Iden" +
+      "ed\022\014\n\004code\030\001 \001(\005\022\016\n\006detail\030\002 \001(\t\"q\n\010Iden" +
       "tity\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\020\n" +
       "\010draining\030\003 \001(\010\022\027\n\017document_number\030\004 \001(\003" +
-      "\"*\n\013HeaderField\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\t\"\222\001\n\004Load\022\021\n\tin_flight\030\001 \001(\005\022\016\n\006queu" +
-      "ed\030\002 \001(\005\0228\n\006levels\030\003 \003(\0132(.plantainshunt" +
-      ".protocol.Load.LevelsEntry\032-\n\013LevelsEntr" +
-      "y\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\310\002\n\tCa" +
-      "llStart\022\014\n\004call\030\001 \001(\003\022\017\n\007service\030\002 \001(\t\022\014" +
-      "\n\004kind\030\003 \001(\t\022\014\n\004path\030\004 \001(\t\022\016\n\006method\030\005 \001" +
-      "(\t\0224\n\007headers\030\006 \003(\0132#.plantainshunt.prot" +
-      "ocol.HeaderField\022\023\n\013body_length\030\007 \001(\005\022\022\n" +
-      "\nrequest_id\030\010 \001(\t\022\020\n\010priority\030\t \001(\005\022\035\n\025d" +
-      "eadline_milliseconds\030\n \001(\003\022\021\n\tallowance\030" +
-      "\013 \001(\005\022\023\n\006ticket\030\014 \001(\tH\000\210\001\001\022\024\n\014trace_pare" +
-      "nt\030\r \001(\t\022\027\n\017document_number\030\016 \001(\003B\t\n\007_ti" +
-      "cket\"#\n\005Chunk\022\014\n\004call\030\001 \001(\003\022\014\n\004data\030\002 \001(" +
-      "\014\"\'\n\007CallEnd\022\014\n\004call\030\001 \001(\003\022\016\n\006crc32c\030\002 \001" +
-      "(\007\"\026\n\006Cancel\022\014\n\004call\030\001 \001(\003\"\312\001\n\013AnswerSta" +
-      "rt\022\014\n\004call\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\016\n\006status" +
-      "\030\003 \001(\005\0224\n\007headers\030\004 \003(\0132#.plantainshunt." +
-      "protocol.HeaderField\022\023\n\013body_length\030\005 \001(" +
-      "\005\022\030\n\020unused_allowance\030\006 \001(\005\022*\n\004load\030\007 \001(" +
-      "\0132\034.plantainshunt.protocol.Load\")\n\tAnswe" +
-      "rEnd\022\014\n\004call\030\001 \001(\003\022\016\n\006crc32c\030\002 \001(\007\"\241\001\n\013C" +
-      "allRefused\022\014\n\004call\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\016" +
-      "\n\006detail\030\003 \001(\t\022 \n\030retry_after_millisecon" +
-      "ds\030\004 \001(\003\022\030\n\020unused_allowance\030\005 \001(\005\022*\n\004lo" +
-      "ad\030\006 \001(\0132\034.plantainshunt.protocol.Load\"<" +
-      "\n\rTicketRequest\022\014\n\004call\030\001 \001(\003\022\017\n\007service" +
-      "\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\"+\n\013TicketGrant\022\014\n\004c" +
-      "all\030\001 \001(\003\022\016\n\006ticket\030\002 \001(\t\"\037\n\010Draining\022\023\n" +
-      "\013incarnation\030\001 \001(\006\"M\n\024DocumentAnnounceme" +
-      "nt\022\025\n\rdocument_kind\030\001 \001(\t\022\016\n\006number\030\002 \001(" +
-      "\003\022\016\n\006digest\030\003 \001(\t\"(\n\017DocumentRequest\022\025\n\r" +
-      "document_kind\030\001 \001(\t\"r\n\014DocumentPart\022\025\n\rd" +
-      "ocument_kind\030\001 \001(\t\022\016\n\006number\030\002 \001(\003\022\016\n\006di" +
-      "gest\030\003 \001(\t\022\016\n\006offset\030\004 \001(\005\022\r\n\005total\030\005 \001(" +
-      "\005\022\014\n\004data\030\006 \001(\014\"\006\n\004Ping\"\006\n\004PongB2\n\037org.p" +
-      "lantainshunt.protocol.wireB\rInnerProtoco" +
-      "lP\001b\006proto3"
+      "\022\031\n\021clock_nanoseconds\030\005 \001(\020\"*\n\013HeaderFie" +
+      "ld\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\222\001\n\004Load" +
+      "\022\021\n\tin_flight\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005\0228\n\006l" +
+      "evels\030\003 \003(\0132(.plantainshunt.protocol.Loa" +
+      "d.LevelsEntry\032-\n\013LevelsEntry\022\013\n\003key\030\001 \001(" +
+      "\t\022\r\n\005value\030\002 \001(\005:\0028\001\"\362\002\n\tCallStart\022\014\n\004ca" +
+      "ll\030\001 \001(\003\022\017\n\007service\030\002 \001(\t\022\014\n\004kind\030\003 \001(\t\022" +
+      "\014\n\004path\030\004 \001(\t\022\016\n\006method\030\005 \001(\t\0224\n\007headers" +
+      "\030\006 \003(\0132#.plantainshunt.protocol.HeaderFi" +
+      "eld\022\023\n\013body_length\030\007 \001(\005\022\022\n\nrequest_id\030\010" +
+      " \001(\t\022\020\n\010priority\030\t \001(\005\022\035\n\025deadline_milli" +
+      "seconds\030\n \001(\003\022\021\n\tallowance\030\013 \001(\005\022\023\n\006tick" +
+      "et\030\014 \001(\tH\000\210\001\001\022\024\n\014trace_parent\030\r \001(\t\022\027\n\017d" +
+      "ocument_number\030\016 \001(\003\022\016\n\006repeat\030\017 \001(\010\022\030\n\020" +
+      "sent_nanoseconds\030\020 \001(\020B\t\n\007_ticket\"#\n\005Chu" +
+      "nk\022\014\n\004call\030\001 \001(\003\022\014\n\004data\030\002 \001(\014\"\'\n\007CallEn" +
+      "d\022\014\n\004call\030\001 \001(\003\022\016\n\006crc32c\030\002 \001(\007\"\026\n\006Cance" +
+      "l\022\014\n\004call\030\001 \001(\003\"\312\001\n\013AnswerStart\022\014\n\004call\030" +
+      "\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\016\n\006status\030\003 \001(\005\0224\n\007h" +
+      "eaders\030\004 \003(\0132#.plantainshunt.protocol.He" +
+      "aderField\022\023\n\013body_length\030\005 \001(\005\022\030\n\020unused" +
+      "_allowance\030\006 \001(\005\022*\n\004load\030\007 \001(\0132\034.plantai" +
+      "nshunt.protocol.Load\")\n\tAnswerEnd\022\014\n\004cal" +
+      "l\030\001 \001(\003\022\016\n\006crc32c\030\002 \001(\007\"\241\001\n\013CallRefused\022" +
+      "\014\n\004call\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\016\n\006detail\030\003 " +
+      "\001(\t\022 \n\030retry_after_milliseconds\030\004 \001(\003\022\030\n" +
+      "\020unused_allowance\030\005 \001(\005\022*\n\004load\030\006 \001(\0132\034." +
+      "plantainshunt.protocol.Load\"<\n\rTicketReq" +
+      "uest\022\014\n\004call\030\001 \001(\003\022\017\n\007service\030\002 \001(\t\022\014\n\004k" +
+      "ind\030\003 \001(\t\"+\n\013TicketGrant\022\014\n\004call\030\001 \001(\003\022\016" +
+      "\n\006ticket\030\002 \001(\t\"\037\n\010Draining\022\023\n\013incarnatio" +
+      "n\030\001 \001(\006\"M\n\024DocumentAnnouncement\022\025\n\rdocum" +
+      "ent_kind\030\001 \001(\t\022\016\n\006number\030\002 \001(\003\022\016\n\006digest" +
+      "\030\003 \001(\t\"(\n\017DocumentRequest\022\025\n\rdocument_ki" +
+      "nd\030\001 \001(\t\"r\n\014DocumentPart\022\025\n\rdocument_kin" +
+      "d\030\001 \001(\t\022\016\n\006number\030\002 \001(\003\022\016\n\006digest\030\003 \001(\t\022" +
+      "\016\n\006offset\030\004 \001(\005\022\r\n\005total\030\005 \001(\005\022\014\n\004data\030\006" +
+      " \001(\014\"\006\n\004Ping\"\006\n\004PongB2\n\037org.plantainshun" +
+      "t.protocol.wireB\rInnerProtocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -271,7 +272,7 @@
     internal_static_plantainshunt_protocol_Identity_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_plantainshunt_protocol_Identity_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Draining", "DocumentNumber", });
+        new java.lang.String[] { "Vm", "Incarnation", "Draining", "DocumentNumber", "ClockNanoseconds", });
     internal_static_plantainshunt_protocol_HeaderField_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_plantainshunt_protocol_HeaderField_fieldAccessorTable = new
@@ -295,7 +296,7 @@
     internal_static_plantainshunt_protocol_CallStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_plantainshunt_protocol_CallStart_descriptor,
-        new java.lang.String[] { "Call", "Service", "Kind", "Path", "Method", "Headers", "BodyLength", "RequestId", "Priority", "DeadlineMilliseconds", "Allowance", "Ticket", "TraceParent", "DocumentNumber", });
+        new java.lang.String[] { "Call", "Service", "Kind", "Path", "Method", "Headers", "BodyLength", "RequestId", "Priority", "DeadlineMilliseconds", "Allowance", "Ticket", "TraceParent", "DocumentNumber", "Repeat", "SentNanoseconds", });
     internal_static_plantainshunt_protocol_Chunk_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_plantainshunt_protocol_Chunk_fieldAccessorTable = new
--- a/protocol/src/test/java/org/plantainshunt/protocol/EmbeddedPeer.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/EmbeddedPeer.java
@@ -34,7 +34,7 @@
         InnerSettings settings = RecordingHandler.settings("vm-own", RecordingHandler.SECRET);
         EndpointContext context = new EndpointContext(settings, handler, handler);
         Greeting greeting = new Greeting("vm-peer", 5, false, 0);
-        connection = new Connection(channel, context, greeting, firstCall);
+        connection = new Connection(channel, context, greeting, new TransitDelay(0, System.nanoTime()), firstCall);
         channel.pipeline().addLast(new Valve(), connection);
         context.peers().opened(connection, greeting);
     }
--- a/protocol/src/test/java/org/plantainshunt/protocol/RecordingHandler.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/RecordingHandler.java
@@ -11,6 +11,7 @@
 
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.retry.Share;
 
 /** Handlers that record what they get; replies are given by the test. */
 class RecordingHandler implements CallHandler, PeerHandler {
@@ -54,7 +55,7 @@
                 "request-1",
                 511,
                 deadlineMilliseconds,
-                3,
+                new Share(3, true),
                 Optional.of("vm-1.2.3"),
                 "00-01-02-01",
                 42);
--- a/protocol/src/test/java/org/plantainshunt/protocol/TicketOrderTest.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/TicketOrderTest.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.plantainshunt.protocol.FakeNode.Outcome;
+import org.plantainshunt.protocol.RecordingHandler.Outcome;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -21,7 +21,7 @@
             List<Outcome> outcomes = new ArrayList<>();
             for (int i = 0; i < ROUNDS; i++) {
                 outcomes.add(new Outcome());
-                connection.call(FakeNode.message("/", new byte[40_000]), outcomes.get(i));
+                connection.call(RecordingHandler.message("/", new byte[40_000]), outcomes.get(i));
                 connection.requestTicket("recorder", "push", new Outcome());
             }
             for (int i = 0; i < ROUNDS; i++) {
--- /dev/null
+++ b/protocol/src/test/java/org/plantainshunt/protocol/TransitDelayTest.java
@@ -0,0 +1,34 @@
+package org.plantainshunt.protocol;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against work that a process starts after a pause because the frame's remaining time looks fresh. */
+class TransitDelayTest {
+    private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long PEER_AHEAD = TimeUnit.HOURS.toNanos(5);
+
+    private final TransitDelay delay = new TransitDelay(PEER_AHEAD, 20 * MILLISECOND);
+
+    @Test
+    void frameThatWaitedInTheSocketIsLate() {
+        assertEquals(0, delay.excess(PEER_AHEAD + 100 * MILLISECOND, 110 * MILLISECOND));
+        assertEquals(3000 * MILLISECOND, delay.excess(PEER_AHEAD + 200 * MILLISECOND, 3210 * MILLISECOND));
+    }
+
+    @Test
+    void handshakeIsTheBaselineOfTheFirstFrame() {
+        assertEquals(2000 * MILLISECOND, delay.excess(PEER_AHEAD + 30 * MILLISECOND, 2050 * MILLISECOND));
+    }
+
+    @Test
+    void driftOfTheClocksIsForgotten() {
+        long drifted = TimeUnit.MINUTES.toNanos(3);
+        delay.excess(PEER_AHEAD + drifted, drifted + 60 * MILLISECOND);
+        long later = drifted + TimeUnit.SECONDS.toNanos(90);
+        assertEquals(0, delay.excess(PEER_AHEAD + later, later + 60 * MILLISECOND));
+    }
+}
