Keep control characters of nodes off the terminal

Cause: status prints texts that nodes answer, and an escape sequence in one of them would reach the operator's terminal; only the rejection was cleaned.

All cells of a table are cleaned now.

--- a/cli/src/main/java/org/plantainshunt/cli/StatusReport.java
+++ b/cli/src/main/java/org/plantainshunt/cli/StatusReport.java
@@ -63,8 +63,7 @@
         if (rejection.isEmpty()) {
             return "-";
         }
-        String line = rejection.replaceAll("\\p{Cntrl}+", " ");
-        return line.length() <= SHORT_REJECTION ? line : line.substring(0, SHORT_REJECTION) + "...";
+        return rejection.length() <= SHORT_REJECTION ? rejection : rejection.substring(0, SHORT_REJECTION) + "...";
     }
 
     /** A node that does not answer outweighs one that is not in order, because its state is unknown. */
--- a/cli/src/main/java/org/plantainshunt/cli/TextTable.java
+++ b/cli/src/main/java/org/plantainshunt/cli/TextTable.java
@@ -17,7 +17,12 @@
         rows.add(List.of(headings));
     }
 
-    /** Adds a row with as many cells as there are headings. */
+    /**
+     * Adds a row with as many cells as there are headings.
+     *
+     * <p>Control characters become blanks, because cells can hold what a node answered, and escape sequences must not
+     * reach the operator's terminal.
+     */
     void add(Object... cells) {
         if (cells.length != rows.get(0).size()) {
             throw new IllegalArgumentException(
@@ -25,7 +30,7 @@
         }
         List<String> row = new ArrayList<>();
         for (Object cell : cells) {
-            row.add(String.valueOf(cell));
+            row.add(String.valueOf(cell).replaceAll("\\p{Cntrl}+", " "));
         }
         rows.add(row);
     }
--- a/cli/src/test/java/org/plantainshunt/cli/StatusReaderTest.java
+++ b/cli/src/test/java/org/plantainshunt/cli/StatusReaderTest.java
@@ -45,6 +45,12 @@
         assertRow(run, 1, "vm-1 archive serving yes 42 01234567 3 4 30 512 1/2 line 3: no such key");
     }
 
+    @Test
+    void escapeSequencesOfANodeDoNotReachTheTerminal() throws IOException {
+        Run run = Run.of("status", server(200, STATUS.replace("vm-1", "vm-1\\u001b[2J")));
+        assertTrue(run.out().contains("vm-1 [2J"), run.out());
+    }
+
     @Test
     void nodesWithoutConfigurationAreNotInOrder() throws IOException {
         Run run = Run.of("status", server(200, "{\"node\":\"vm-2\",\"state\":\"starting\",\"ready\":false}"));
