--- a/core/src/main/java/org/plantainshunt/admission/AdmissionLevel.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionLevel.java
@@ -1,18 +1,22 @@
 package org.plantainshunt.admission;
 
 import java.util.Arrays;
+import java.util.function.Predicate;
+
+import org.plantainshunt.configuration.PriorityClass;
 
 /**
  * The number of priority values that the entry nodes may send, 0 to 512, computed every 100 ms.
  *
  * <p>Two things are learned in each window. The <em>capacity</em> is the number of calls that ended while the slots
- * were busy. The <em>demand</em> of each priority value is the number of calls offered with it. Entry nodes hold back most
- * calls at and above the level, so the demand there cannot be seen; it is remembered from earlier windows and decays
- * slowly, unless more is offered than remembered.
+ * were busy. The <em>demand</em> of each priority value is the number of calls offered with it. Entry nodes hold back
+ * most calls at and above the level, so the demand there cannot be seen; it is remembered from earlier windows and
+ * decays slowly, unless more is offered than remembered.
  *
- * <p>While the queue is overloaded the level falls to where the demand below it is just under the capacity. Otherwise
- * it rises by as much demand as the idle slots could have taken, so that unimportant work returns in steps that fit.
- * Confined to one thread.
+ * <p>While any class has a standing delay or loses calls in the queue, the level falls to where the demand below it is
+ * just under the capacity, but not below the classes that are served well: the queue starts them first, so refusing
+ * them would only lose important work. Otherwise the level rises by as much demand as the idle slots could have taken,
+ * so that unimportant work returns in steps that fit. Confined to one thread.
  */
 final class AdmissionLevel {
     /** All priorities are admitted. */
@@ -43,19 +47,21 @@
     private static final double LOWEST_SHARE = 0.85;
 
     private static final double SMALLEST_RISE = 1.03;
-    private static final double LARGEST_RISE = 1.5;
+    private static final double LARGEST_RISE = 2;
 
-    /** Bounds a rise into priorities of unknown demand; from 0 to 512 takes 1.6 s. */
-    private static final int LARGEST_STEP = 32;
+    /** Bounds a rise into priorities of unknown demand; from 0 to 512 takes 0.6 s. */
+    private static final int LARGEST_STEP = 96;
 
-    /** More calls lost in the queue than this share of the offered ones count as overload, even without a delay. */
+    /** More calls lost in the queue than this share of the class's offered ones count as overload, without a delay. */
     private static final double LOST_SHARE = 0.02;
 
+    private static final PriorityClass[] CLASSES = PriorityClass.values();
+
     private final int[] offered = new int[ALL];
     private final double[] demand = new double[ALL];
-    private int offeredInWindow;
+    private final int[] offeredByClass = new int[CLASSES.length];
+    private final int[] lostByClass = new int[CLASSES.length];
     private int ended;
-    private int lost;
     private double slotTimeUsed;
     private double slotTime;
     private double capacity;
@@ -82,7 +88,7 @@
     /** Counts an offered call. */
     void offered(Priority priority) {
         offered[priority.value()]++;
-        offeredInWindow++;
+        offeredByClass[priority.priorityClass().ordinal()]++;
     }
 
     /** Counts a call that ended after it held a slot. */
@@ -90,9 +96,11 @@
         ended++;
     }
 
-    /** Counts a waiting call that was evicted from a full queue or ran out of time. */
-    void lost() {
-        lost++;
+    /** Counts a waiting call that was evicted or ran out of time; those above the level are expected to be lost. */
+    void lost(Priority priority) {
+        if (priority.value() < level) {
+            lostByClass[priority.priorityClass().ordinal()]++;
+        }
     }
 
     /** Adds the use of the slots since the last call of this method; called before the use changes. */
@@ -108,20 +116,24 @@
         slotsSeenAt = now;
     }
 
-    /** Computes the level anew if a window has passed. */
-    void update(boolean standing, long now) {
+    /**
+     * Computes the level anew if a window has passed.
+     *
+     * @param delayed tells of a class whether its delay is reason to lower the level
+     */
+    void update(Predicate<PriorityClass> delayed, long now) {
         long elapsed = now - windowStart;
         if (elapsed < WINDOW) {
             return;
         }
         double used = slotTime > 0 ? slotTimeUsed / slotTime : 0;
         if (elapsed <= LONGEST_WINDOW) {
-            boolean overloaded = standing || lost > LOST_SHARE * offeredInWindow;
+            int overloaded = mostImportantOverloaded(delayed);
             double scale = (double) WINDOW / elapsed;
-            learnCapacity(ended * scale, overloaded || used >= BUSY);
+            learnCapacity(ended * scale, overloaded < CLASSES.length || used >= BUSY);
             learnDemand(scale);
             totalDemand = demandBelow(ALL);
-            level = overloaded ? lowered() : raised(used);
+            level = overloaded < CLASSES.length ? lowered(overloaded) : raised(used);
         } else if (used < BUSY) {
             level = (int) Math.min(ALL, level + LARGEST_STEP * (elapsed / WINDOW));
         }
@@ -131,9 +143,9 @@
     private void beginWindow(long now) {
         windowStart = now;
         Arrays.fill(offered, 0);
-        offeredInWindow = 0;
+        Arrays.fill(offeredByClass, 0);
+        Arrays.fill(lostByClass, 0);
         ended = 0;
-        lost = 0;
         slotTimeUsed = 0;
         slotTime = 0;
     }
@@ -169,9 +181,19 @@
         }
     }
 
-    private int lowered() {
+    /** Returns the ordinal of the most important class that is overloaded, or the number of classes if none is. */
+    private int mostImportantOverloaded(Predicate<PriorityClass> delayed) {
+        for (int i = 0; i < CLASSES.length; i++) {
+            if (delayed.test(CLASSES[i]) || lostByClass[i] > LOST_SHARE * offeredByClass[i]) {
+                return i;
+            }
+        }
+        return CLASSES.length;
+    }
+
+    private int lowered(int overloaded) {
         double target = Math.max(LOWEST_SHARE * capacity, Math.min(capacity, FALL * demandBelow(level)));
-        return Math.min(level, levelFor(target));
+        return Math.min(level, Math.max(overloaded * Priority.COHORTS, levelFor(target)));
     }
 
     private int raised(double used) {
--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -98,9 +98,6 @@
         boolean shed = entry.priority().value() >= level.level() && waiting.size() >= enoughWaiting();
         waiting.add(entry);
         if (full || shed) {
-            if (full) {
-                level.lost();
-            }
             evict(full ? "the queue is full" : "the admission level is " + level.level());
         }
         return entry.state == CallEntry.State.ENDED ? Admission.REFUSE : Admission.WAIT;
@@ -137,7 +134,7 @@
             CallEntry entry = waiting.next(now);
             waiting.remove(entry);
             if (expired(entry, now) || outOfReach(entry, now)) {
-                level.lost();
+                level.lost(entry.priority());
                 refuse(entry, outOfReachRefusal(entry));
             } else {
                 start(entry, now);
@@ -227,7 +224,7 @@
         level.slotsUsed(running, limit.current(), now);
         refuseLate(now);
         waiting.observe(now, targetDelay);
-        level.update(waiting.standing(now), now);
+        level.update(priorityClass -> waiting.overloaded(priorityClass, now), now);
     }
 
     /** Refuses the waiting calls that can no longer meet their deadlines, so that they take no room. */
@@ -236,7 +233,7 @@
             CallEntry entry = waiting.mostUrgent();
             waiting.remove(entry);
             if (expired(entry, now) || outOfReach(entry, now)) {
-                level.lost();
+                level.lost(entry.priority());
                 refuse(entry, outOfReachRefusal(entry));
             } else {
                 entry.latestStart = latestStart(entry, now);
@@ -281,6 +278,7 @@
     private void evict(String reason) {
         CallEntry entry = waiting.leastImportant();
         waiting.remove(entry);
+        level.lost(entry.priority());
         String detail = reason + "; " + waiting.size() + " calls wait for " + limit.current() + " slots";
         refuse(entry, new Refusal(ResultCode.OVERLOADED, detail, retryAfter.whenOverloaded(entry, waiting.size())));
     }
--- a/core/src/main/java/org/plantainshunt/admission/WaitingCalls.java
+++ b/core/src/main/java/org/plantainshunt/admission/WaitingCalls.java
@@ -16,6 +16,14 @@
     /** A delay that lasts longer than a burst counts as standing. */
     static final long STANDING_AFTER = 100_000_000L;
 
+    /**
+     * The standing delay at which important work is refused at the entry nodes.
+     *
+     * <p>Important work that needs 90 % of a dozen slots is over a target shorter than its service time for some 100 ms
+     * now and then, just by chance; refusing it then loses a tenth of work that fits.
+     */
+    static final long IMPORTANT_OVERLOADED_AFTER = 1_000_000_000L;
+
     private static final int CLASSES = PriorityClass.values().length;
     private static final Comparator<CallEntry> BY_ORDER = Comparator.comparingLong(entry -> entry.sequence);
     private static final Comparator<CallEntry> BY_IMPORTANCE = Comparator.<CallEntry>comparingInt(
@@ -49,8 +57,8 @@
             over = overNow;
         }
 
-        private boolean standing(long now) {
-            return over && now - overSince >= STANDING_AFTER;
+        private boolean overFor(long duration, long now) {
+            return over && now - overSince >= duration;
         }
     }
 
@@ -86,7 +94,7 @@
     CallEntry next(long now) {
         for (ClassQueue queue : classes) {
             if (!queue.calls.isEmpty()) {
-                return queue.standing(now) ? queue.calls.last() : queue.calls.first();
+                return queue.overFor(STANDING_AFTER, now) ? queue.calls.last() : queue.calls.first();
             }
         }
         throw new IllegalStateException("no call waits");
@@ -109,14 +117,10 @@
         }
     }
 
-    /** Returns whether any class has a standing delay. */
-    boolean standing(long now) {
-        for (ClassQueue queue : classes) {
-            if (queue.standing(now)) {
-                return true;
-            }
-        }
-        return false;
+    /** Returns whether the delay of a class is reason to lower the admission level. */
+    boolean overloaded(PriorityClass priorityClass, long now) {
+        boolean important = priorityClass.compareTo(PriorityClass.IMPORTANT) <= 0;
+        return classes[priorityClass.ordinal()].overFor(important ? IMPORTANT_OVERLOADED_AFTER : STANDING_AFTER, now);
     }
 
     private ClassQueue classOf(CallEntry entry) {
--- a/core/src/main/java/org/plantainshunt/execution/TicketTable.java
+++ b/core/src/main/java/org/plantainshunt/execution/TicketTable.java
@@ -138,14 +138,14 @@
     /**
      * Records the whole answer of a request that started.
      *
-     * <p>Replaces an unknown outcome, because a late answer is still the truth. The first answer stands.
+     * <p>Replaces an unknown outcome, because a late answer is still the truth. The first answer stands. Has no effect
+     * if the entry has expired since an unknown outcome was recorded.
      *
      * @throws IllegalStateException if the request did not start or was refused
-     * @throws IllegalArgumentException if the table has no entry for the ticket
      */
     public void answered(String ticket, Outcome outcome, long now) {
-        TicketEntry entry = require(ticket);
-        if (entry.state == State.ANSWERED) {
+        TicketEntry entry = find(ticket);
+        if (entry == null || entry.state == State.ANSWERED) {
             return;
         }
         requireStarted(entry);
@@ -156,18 +156,18 @@
     }
 
     /**
-     * Records that a request that started has no whole answer.
+     * Records that a request that started has no whole answer; has no effect once an answer is recorded.
      *
      * @param refusal what repeats are told; its run state must not be "not run"
      * @throws IllegalStateException if the request did not start or was refused
-     * @throws IllegalArgumentException if the refusal says "not run" or the table has no entry for the ticket
+     * @throws IllegalArgumentException if the refusal says "not run"
      */
     public void unknown(String ticket, Refusal refusal, long now) {
         if (refusal.code().runState() == RunState.NOT_RUN) {
             throw new IllegalArgumentException(refusal.code() + " says that the request did not run");
         }
-        TicketEntry entry = require(ticket);
-        if (entry.state == State.ANSWERED) {
+        TicketEntry entry = find(ticket);
+        if (entry == null || entry.state == State.ANSWERED) {
             return;
         }
         requireStarted(entry);
