--- a/core/src/test/java/org/plantainshunt/execution/TicketTableTest.java
+++ b/core/src/test/java/org/plantainshunt/execution/TicketTableTest.java
@@ -86,12 +86,9 @@
         table.unknown(ticket, CUT, 1);
         table.answered(ticket, answer(1), 2);
         assertEquals(Decision.REPLAY, begin(ticket, 3).decision());
-<<<<<<< HEAD
-=======
         begin(ticket, 302 * SECOND);
         table.answered(ticket, answer(1), 302 * SECOND);
         assertEquals(0, table.storedBytes());
->>>>>>> decisions
     }
 
     /** Guards against the use of a ticket for a request that it was not issued for. */
