--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/CallGraphLoad.java
@@ -0,0 +1,119 @@
+package org.plantainshunt.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.plantainshunt.bench.fleet.FleetDocument;
+import org.plantainshunt.bench.fleet.FleetPlan;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.Outcall;
+import org.plantainshunt.standins.KindLoad;
+
+/**
+ * Derives a load from a configuration document such that the deepest service is used to a given share of its capacity.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+final class CallGraphLoad {
+    private static final int ANSWER_BYTES = 2_000;
+    private static final int BODY_BYTES = 200;
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    private final FleetPlan plan;
+    private final FleetDocument document;
+
+    CallGraphLoad(FleetPlan plan) {
+        this.plan = plan;
+        this.document = plan.document();
+    }
+
+    /** Returns the kind at the end of the longest chain of calls. */
+    Kind deepestKind() {
+        Kind deepest = document.kinds().get(0);
+        int most = -1;
+        for (Kind kind : document.kinds()) {
+            int depth = depth(kind);
+            if (depth > most) {
+                most = depth;
+                deepest = kind;
+            }
+        }
+        while (!deepest.calls().isEmpty()) {
+            deepest = deepestCall(deepest);
+        }
+        return deepest;
+    }
+
+    /** Returns the load of every kind, with rates that use a share of the capacity of the deepest service. */
+    List<KindLoad> loads(double share) {
+        Kind deepest = deepestKind();
+        double calls = 0;
+        for (Kind kind : document.kinds()) {
+            calls += weight(kind) * callsOf(kind, deepest.service());
+        }
+        double capacity = plan.slots(deepest.service())
+                * plan.vmsPerService()
+                * MILLISECONDS_PER_SECOND
+                / plan.meanMilliseconds(deepest);
+        List<KindLoad> loads = new ArrayList<>();
+        for (Kind kind : document.kinds()) {
+            loads.add(load(kind, weight(kind) * share * capacity / calls));
+        }
+        return loads;
+    }
+
+    /** Returns the load of every kind at the same rate in works per second. */
+    List<KindLoad> evenLoads(double rate) {
+        return document.kinds().stream().map(kind -> load(kind, rate)).toList();
+    }
+
+    private static KindLoad load(Kind kind, double rate) {
+        return new KindLoad(
+                kind.service(),
+                kind.name(),
+                kind.priorityClass(),
+                kind.atMostOnce(),
+                rate,
+                kind.deadline().toMillis(),
+                ANSWER_BYTES,
+                BODY_BYTES);
+    }
+
+    /** Browsing makes up most of the demand, so that the important work alone fits the slowed deep service. */
+    private static double weight(Kind kind) {
+        return switch (kind.priorityClass()) {
+            case CRITICAL, IMPORTANT -> 1;
+            case STANDARD -> 2;
+            case SHEDDABLE -> 5;
+        };
+    }
+
+    private int callsOf(Kind kind, String service) {
+        int calls = kind.service().equals(service) ? 1 : 0;
+        for (Outcall call : kind.calls()) {
+            calls += call.count() * callsOf(target(call), service);
+        }
+        return calls;
+    }
+
+    private int depth(Kind kind) {
+        return kind.calls().stream()
+                .mapToInt(call -> 1 + depth(target(call)))
+                .max()
+                .orElse(0);
+    }
+
+    private Kind deepestCall(Kind kind) {
+        Kind deepest = target(kind.calls().get(0));
+        for (Outcall call : kind.calls()) {
+            if (depth(target(call)) > depth(deepest)) {
+                deepest = target(call);
+            }
+        }
+        return deepest;
+    }
+
+    private Kind target(Outcall call) {
+        return document.kind(call.service(), call.kind()).orElseThrow();
+    }
+}
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetDocument.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetDocument.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import org.apache.commons.configuration2.Configuration;
 import org.apache.commons.configuration2.INIConfiguration;
@@ -31,6 +32,8 @@
 public record FleetDocument(
         byte[] bytes, String name, List<DataCentre> dataCentres, List<ServiceLimits> services, List<Kind> kinds) {
     private static final int DEFAULT_SLOTS = 16;
+    private static final int FEWEST_SLOTS = 2;
+    private static final Pattern LIMIT = Pattern.compile("(?m)^((?:slots|queue)\\s*=\\s*)(\\d+)");
 
     /** Copies the lists. */
     public FleetDocument {
@@ -87,6 +90,19 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the same document for smaller backend servers: the slots and the queues are divided.
+     *
+     * @param divisor by which they are divided; none falls below 2
+     * @throws IOException if the text is not a configuration document
+     */
+    public FleetDocument withSlotsDividedBy(int divisor) throws IOException {
+        String text = LIMIT.matcher(new String(bytes, StandardCharsets.UTF_8))
+                .replaceAll(
+                        match -> match.group(1) + Math.max(FEWEST_SLOTS, Integer.parseInt(match.group(2)) / divisor));
+        return read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     private static Kind kind(String[] heading, Configuration section) throws IOException {
         return new Kind(
                 heading[1],
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetPlan.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetPlan.java
@@ -93,14 +93,32 @@
         return new FleetPlan(document, dataCentres, vmsPerService, addressBlock, withNodes, meanMilliseconds, options);
     }
 
-    /** Returns the mean service time of a kind in milliseconds. */
-    double meanMilliseconds(Kind kind) {
+    /**
+     * Returns the mean service time of a kind.
+     *
+     * @param kind the kind of request
+     * @return milliseconds
+     */
+    public double meanMilliseconds(Kind kind) {
         Double mean = meanMilliseconds.get(kind.service() + "/" + kind.name());
         return mean == null
                 ? Math.min(LARGEST_DEFAULT_MILLISECONDS, kind.deadline().toMillis() * DEADLINE_PART)
                 : mean;
     }
 
+    /**
+     * Returns the slots of one backend server of a service.
+     *
+     * @param service the name of the service
+     */
+    public int slots(String service) {
+        return document.services().stream()
+                .filter(limits -> limits.name().equals(service))
+                .findFirst()
+                .orElseThrow()
+                .slots();
+    }
+
     private static List<DataCentre> firstOfEachRegion(FleetDocument document) {
         Map<String, DataCentre> first = new LinkedHashMap<>();
         document.dataCentres().forEach(dataCentre -> first.putIfAbsent(dataCentre.region(), dataCentre));
--- a/standins/src/main/java/org/plantainshunt/standins/LoadGenerator.java
+++ b/standins/src/main/java/org/plantainshunt/standins/LoadGenerator.java
@@ -122,7 +122,7 @@
             return;
         }
         outstanding.incrementAndGet();
-        tally.offered();
+        tally.offered((int) TimeUnit.NANOSECONDS.toSeconds(arrival.at()));
         CallerWork work = new CallerWork(
                 context,
                 plan.kinds().get(arrival.kind()),
--- a/standins/src/main/java/org/plantainshunt/standins/LoadResult.java
+++ b/standins/src/main/java/org/plantainshunt/standins/LoadResult.java
@@ -58,6 +58,14 @@
         return sum;
     }
 
+    /** Returns the number of works that were due in each second, over all classes. */
+    public Map<Integer, Long> offeredBySecond() {
+        Map<Integer, Long> sum = new TreeMap<>();
+        byClass.forEach(
+                counts -> counts.offeredBySecond().forEach((second, count) -> sum.merge(second, count, Long::sum)));
+        return sum;
+    }
+
     private static String label(PriorityClass priorityClass) {
         return priorityClass.name().toLowerCase(Locale.ROOT);
     }
@@ -78,6 +86,7 @@
      * @param p50Milliseconds median latency of whole answers, in milliseconds from the time the work was due
      * @param p99Milliseconds 99th percentile of the same
      * @param p999Milliseconds 99.9th percentile of the same
+     * @param offeredBySecond works begun, by the second in which they were due
      * @param wholeBySecond whole answers within the deadline, by the second in which they came
      */
     public record Counts(
@@ -94,6 +103,7 @@
             double p50Milliseconds,
             double p99Milliseconds,
             double p999Milliseconds,
+            Map<Integer, Long> offeredBySecond,
             Map<Integer, Long> wholeBySecond) {
         /** Returns the number of works with an outcome. */
         public long count(WorkOutcome outcome) {
