Add the relay stand-in for links that break, stall, delay or narrow

Partitions and cuts in mid-stream must be produced without privileges, so packet filters and traffic control of the system were ruled out. Rules match the source address and the target, because a relay in front of a target alone can isolate a VM but cannot split a fleet into two halves that both go on.

--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/Relay.java
@@ -0,0 +1,142 @@
+package org.plantainshunt.standins;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * A TCP relay that stands in for a network link: it can be cut, refuse, stall, delay and narrow connections.
+ *
+ * <p>Rules tell connections apart by the address that they come from and the target that they go to, so that one relay
+ * can split a fleet into parts. Safe for use by any thread.
+ */
+public final class Relay implements AutoCloseable {
+    private static final int THREADS = 2;
+    private static final int CONNECT_TIMEOUT_MILLISECONDS = 5_000;
+
+    private final EventLoopGroup group = new NioEventLoopGroup(THREADS);
+    private final RelayRules rules = new RelayRules();
+    private final Map<RelayConnection, Ends> connections = new ConcurrentHashMap<>();
+    private final AtomicLong bytesToTarget = new AtomicLong();
+    private final AtomicLong bytesFromTarget = new AtomicLong();
+    private final List<Channel> servers = new ArrayList<>();
+
+    /**
+     * Starts to relay from an address to a target.
+     *
+     * @param listen the address to bind
+     * @param target where connections lead
+     * @return the address that is bound
+     * @throws InterruptedException if the thread is interrupted while the address is bound
+     */
+    public synchronized Endpoint add(Endpoint listen, Endpoint target) throws InterruptedException {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel accepted) {
+                        accept(accepted, target);
+                    }
+                })
+                .bind(listen.socketAddress())
+                .sync();
+        servers.add(bound.channel());
+        return listen.withPort(((InetSocketAddress) bound.channel().localAddress()).getPort());
+    }
+
+    /** Changes the rule for connections from some addresses to some targets, and applies it to open ones. */
+    void change(String from, String to, UnaryOperator<RelayRule> change) {
+        rules.change(from, to, change);
+        applyAll();
+    }
+
+    /** Drops all rules. Connections that were reset stay closed. */
+    void heal() {
+        rules.heal();
+        applyAll();
+    }
+
+    /** Returns how many connections are open. */
+    int openConnections() {
+        return connections.size();
+    }
+
+    /** Returns the bytes passed to targets so far. */
+    long bytesToTarget() {
+        return bytesToTarget.get();
+    }
+
+    /** Returns the bytes passed back from targets so far. */
+    long bytesFromTarget() {
+        return bytesFromTarget.get();
+    }
+
+    @Override
+    public synchronized void close() {
+        servers.forEach(Channel::close);
+        group.shutdownGracefully();
+    }
+
+    private void accept(Channel accepted, Endpoint target) {
+        String source =
+                ((InetSocketAddress) accepted.remoteAddress()).getAddress().getHostAddress();
+        Ends ends = new Ends(source, target.toString());
+        RelayRule.Mode mode = rules.find(ends.source(), ends.target()).rule().mode();
+        if (mode == RelayRule.Mode.CUT || mode == RelayRule.Mode.REFUSE) {
+            RelayConnection.reset(accepted);
+            return;
+        }
+        new Bootstrap()
+                .group(accepted.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        // The handlers are added once both channels are open.
+                    }
+                })
+                .connect(target.socketAddress())
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        join(accepted, connected.channel(), ends);
+                    } else {
+                        RelayConnection.reset(accepted);
+                    }
+                });
+    }
+
+    private void join(Channel accepted, Channel target, Ends ends) {
+        RelayConnection connection = new RelayConnection(accepted, target, rules.find(ends.source(), ends.target()));
+        connections.put(connection, ends);
+        accepted.closeFuture().addListener(closed -> connections.remove(connection));
+        connection.open(bytesToTarget, bytesFromTarget);
+    }
+
+    private void applyAll() {
+        connections.forEach((connection, ends) -> connection.apply(rules.find(ends.source(), ends.target())));
+    }
+
+    private record Ends(String source, String target) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/plantainshunt/standins/RelayConnection.java
@@ -0,0 +1,126 @@
+package org.plantainshunt.standins;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+
+/**
+ * A connection through a relay: the channel that was accepted and the one to the target, on the same event loop.
+ *
+ * <p>Confined to that event loop, except for {@link #apply}.
+ */
+final class RelayConnection {
+    /** Reading pauses while this many bytes wait in one direction, so that a slow link holds its sender back. */
+    private static final long LARGEST_PENDING_BYTES = 256 * 1024;
+
+    private final Channel accepted;
+    private final Channel target;
+    private volatile RelayRules.Shared shared;
+
+    RelayConnection(Channel accepted, Channel target, RelayRules.Shared shared) {
+        this.accepted = accepted;
+        this.target = target;
+        this.shared = shared;
+    }
+
+    /** Joins the channels and lets bytes flow as the rule says. */
+    void open(AtomicLong bytesToTarget, AtomicLong bytesFromTarget) {
+        accepted.pipeline().addLast(new Direction(accepted, target, true, bytesToTarget));
+        target.pipeline().addLast(new Direction(target, accepted, false, bytesFromTarget));
+        apply(shared);
+    }
+
+    /** Puts another rule in force. */
+    void apply(RelayRules.Shared next) {
+        shared = next;
+        accepted.eventLoop().execute(() -> {
+            RelayRule.Mode mode = next.rule().mode();
+            if (mode == RelayRule.Mode.CUT) {
+                reset(accepted);
+                reset(target);
+                return;
+            }
+            boolean flows = mode != RelayRule.Mode.STALL;
+            accepted.config().setAutoRead(flows);
+            target.config().setAutoRead(flows);
+        });
+    }
+
+    /** Closes a channel with a reset, as a broken link does, in place of an orderly end. */
+    static void reset(Channel channel) {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+    }
+
+    private boolean flows() {
+        return shared.rule().mode() != RelayRule.Mode.STALL;
+    }
+
+    /** Passes the bytes of one channel on to the other. */
+    private final class Direction extends ChannelInboundHandlerAdapter {
+        private final Channel source;
+        private final Channel sink;
+        private final boolean towardsTarget;
+        private final AtomicLong bytes;
+        private long pending;
+        private long lastAt = Long.MIN_VALUE;
+
+        Direction(Channel source, Channel sink, boolean towardsTarget, AtomicLong bytes) {
+            this.source = source;
+            this.sink = sink;
+            this.towardsTarget = towardsTarget;
+            this.bytes = bytes;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ByteBuf buffer = (ByteBuf) message;
+            int length = buffer.readableBytes();
+            bytes.addAndGet(length);
+            pending += length;
+            if (pending > LARGEST_PENDING_BYTES) {
+                source.config().setAutoRead(false);
+            }
+            long now = System.nanoTime();
+            long at = shared.leaveAt(towardsTarget, length, now);
+            later(at, now, () -> sink.writeAndFlush(buffer).addListener(written -> passed(length)));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            long now = System.nanoTime();
+            later(now, now, sink::close);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            reset(source);
+            reset(sink);
+        }
+
+        private void passed(int length) {
+            pending -= length;
+            if (pending <= LARGEST_PENDING_BYTES / 2 && flows()) {
+                source.config().setAutoRead(true);
+            }
+        }
+
+        /** Runs a step at a time but never before the steps that came earlier. */
+        private void later(long at, long now, Runnable step) {
+            lastAt = lastAt == Long.MIN_VALUE ? at : Math.max(at, lastAt);
+            long delay = lastAt - now;
+            if (delay <= 0) {
+                step.run();
+                return;
+            }
+            source.eventLoop().schedule(step, delay, TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- a/standins/src/main/java/org/plantainshunt/standins/StandinMain.java
+++ b/standins/src/main/java/org/plantainshunt/standins/StandinMain.java
@@ -61,6 +61,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new PlatformCommand(), new BackendServerCommand(), new LoadCommand());
+        return List.of(new PlatformCommand(), new BackendServerCommand(), new LoadCommand(), new RelayCommand());
     }
 }
