Add the virtual-clock harness and three baselines for policy benchmarks

Ruled out: a general simulator with its own scheduling of processes; the measures need only calls, slots, latencies and one link.

Change: a discrete-event clock; fakes of backend servers, network and callers; a node that carries calls between an entry policy, a serving policy and its server; the baselines (no control, fixed limit with a first-in-first-out queue, round robin with three retries per hop).

--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/BaselineEntryPolicy.java
@@ -0,0 +1,59 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The baselines at the entry node: round robin over the servers of the region, with or without three retries.
+ *
+ * <p>Retries follow any failure, as hops retry that know nothing of each other. Confined to one thread.
+ */
+final class BaselineEntryPolicy implements EntryPolicy {
+    private static final int RETRIES_PER_HOP = 3;
+
+    private final Simulation simulation;
+    private final Node node;
+    private final boolean retries;
+    private final Map<String, Integer> turns = new HashMap<>();
+
+    BaselineEntryPolicy(Simulation simulation, Node node, boolean retries) {
+        this.simulation = simulation;
+        this.node = node;
+        this.retries = retries;
+    }
+
+    @Override
+    public Route first(OutboundCall call, long now) {
+        return Route.to(choose(call));
+    }
+
+    @Override
+    public Optional<Node> next(OutboundCall call, Reply failed, long now) {
+        boolean tryAgain = retries && call.attempts() <= RETRIES_PER_HOP;
+        return tryAgain ? Optional.of(choose(call)) : Optional.empty();
+    }
+
+    @Override
+    public void ended(OutboundCall call, Node server, Reply reply, long now) {
+        // The baselines learn nothing from replies.
+    }
+
+    @Override
+    public Map<String, Integer> levels(long now) {
+        return Map.of();
+    }
+
+    @Override
+    public int closeAllowance(InboundCall inbound) {
+        return 0;
+    }
+
+    private Node choose(OutboundCall call) {
+        String service = call.work.kind().service();
+        List<Node> servers = simulation.servers(service, node.region());
+        int turn = turns.merge(service, 1, Integer::sum) + node.index;
+        return servers.get(turn % servers.size());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Caller.java
@@ -0,0 +1,148 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.plantainshunt.bench.policy.Conditions.Repeats;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
+
+/**
+ * A fake of the callers of one data centre: an open loop of requests to random nodes of that data centre.
+ *
+ * <p>Arrivals are random within groups of {@value #SPREAD}, so that the number of arrivals per second hardly varies and
+ * a change of goodput by 5 % can be told from chance. Confined to one thread.
+ */
+final class Caller {
+    private static final int SPREAD = 20;
+    private static final int POLITE_REPEATS = 2;
+    private static final int HARD_REPEATS = 5;
+    private static final long HARD_DELAY = 10 * VirtualClock.MILLISECOND;
+    private static final long POLITE_DELAY = 200 * VirtualClock.MILLISECOND;
+
+    private final Simulation simulation;
+    private final RandomGenerator random;
+    private final List<Node> nodes;
+    private final double share;
+    private long nextId;
+
+    /**
+     * Creates the callers of a data centre.
+     *
+     * @param nodes the nodes of the data centre
+     * @param share the share of the demand that these callers make
+     * @param firstId the first request id; ids of other data centres must not overlap with those from here on
+     */
+    Caller(Simulation simulation, RandomGenerator random, List<Node> nodes, double share, long firstId) {
+        this.simulation = simulation;
+        this.random = random;
+        this.nodes = nodes;
+        this.share = share;
+        this.nextId = firstId;
+    }
+
+    void start() {
+        arrive();
+    }
+
+    private void arrive() {
+        double second = (double) now() / VirtualClock.SECOND;
+        double rate = simulation.conditions().demand().applyAsDouble(second) * share;
+        long gap = (long) (VirtualClock.SECOND / rate);
+        simulation.clock().after((long) (random.nextDouble() * gap * SPREAD), this::sendNew);
+        simulation.clock().after(gap, this::arrive);
+    }
+
+    private void sendNew() {
+        boolean straggler = random.nextDouble() < simulation.conditions().stragglerShare();
+        Request request = new Request(nextId++, pick(), now(), now(), 1, 1, straggler);
+        simulation.measurements().sent(request);
+        send(request);
+    }
+
+    private Work pick() {
+        List<Work> work = simulation.deployment().work();
+        double point = random.nextDouble();
+        for (Work candidate : work) {
+            point -= candidate.share();
+            if (point < 0) {
+                return candidate;
+            }
+        }
+        return work.get(work.size() - 1);
+    }
+
+    private void send(Request request) {
+        Node entryNode = nodes.get(random.nextInt(nodes.size()));
+        Exchange exchange = new Exchange(request);
+        long latency = simulation.deployment().toCallersNanos();
+        simulation
+                .clock()
+                .after(
+                        latency,
+                        () -> entryNode.enter(request, reply -> {
+                            simulation.measurements().chainEnded(request);
+                            simulation.clock().after(latency, () -> exchange.replied(reply));
+                        }));
+        simulation.clock().after(request.deadline - now(), exchange::timedOut);
+    }
+
+    /** One attempt of a request, which ends by the first of its reply and its deadline. */
+    private final class Exchange {
+        private final Request request;
+        private boolean over;
+
+        Exchange(Request request) {
+            this.request = request;
+        }
+
+        void replied(Reply reply) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (reply.good()) {
+                simulation.measurements().completed(request, now());
+            } else {
+                failed(reply);
+            }
+        }
+
+        void timedOut() {
+            if (!over) {
+                over = true;
+                failed(Reply.refused(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, 0));
+            }
+        }
+
+        private void failed(Reply reply) {
+            simulation.measurements().failed(request, reply.code(), now());
+            repeatAfter(reply).ifPresent(delay -> simulation.clock().after(delay, this::repeat));
+        }
+
+        private Optional<Long> repeatAfter(Reply reply) {
+            if (simulation.conditions().repeats() == Repeats.HARD) {
+                return request.attempt <= HARD_REPEATS ? Optional.of(HARD_DELAY) : Optional.empty();
+            }
+            boolean mayRepeat = reply.code().runState() == RunState.NOT_RUN
+                    || !request.work.kind().atMostOnce();
+            if (request.attempt > POLITE_REPEATS || !mayRepeat) {
+                return Optional.empty();
+            }
+            long delay = Math.max(
+                    reply.retryAfterMilliseconds() * VirtualClock.MILLISECOND, POLITE_DELAY << request.attempt);
+            return Optional.of((long) (delay * (1 + random.nextDouble())));
+        }
+
+        private void repeat() {
+            int attempt = request.attempt + 1;
+            int stated = simulation.conditions().repeats() == Repeats.HARD ? 1 : attempt;
+            send(new Request(request.id, request.work, request.firstSentAt, now(), attempt, stated, request.straggler));
+        }
+    }
+
+    private long now() {
+        return simulation.clock().now();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Deployment.java
@@ -0,0 +1,70 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.List;
+
+import org.plantainshunt.configuration.DataCentre;
+import org.plantainshunt.configuration.Link;
+import org.plantainshunt.configuration.Policy;
+import org.plantainshunt.configuration.Service;
+
+/**
+ * One of the two deployments of section 1.4 of the design page.
+ *
+ * <p>Each service has one backend server per data centre. Immutable.
+ *
+ * @param name the name of the mesh
+ * @param dataCentres the data centres, two in each region
+ * @param link the link between the two regions
+ * @param betweenDataCentresNanos the one-way latency between data centres of a region, in nanoseconds
+ * @param toCallersNanos the one-way latency to callers, in nanoseconds
+ * @param policy the rules for all services
+ * @param services the services
+ * @param work the kinds that callers request
+ * @param bottleneck the service that every request of a caller calls exactly once
+ * @param bottleneckMeanNanos the mean service time of a call at the bottleneck, in nanoseconds
+ */
+record Deployment(
+        String name,
+        List<DataCentre> dataCentres,
+        Link link,
+        long betweenDataCentresNanos,
+        long toCallersNanos,
+        Policy policy,
+        List<Service> services,
+        List<Work> work,
+        String bottleneck,
+        long bottleneckMeanNanos) {
+
+    Service service(String wanted) {
+        for (Service service : services) {
+            if (service.name().equals(wanted)) {
+                return service;
+            }
+        }
+        throw new IllegalArgumentException("deployment " + name + " has no service " + wanted);
+    }
+
+    /** Returns the requests per second that the bottleneck's slots can serve at its mean service time. */
+    double capacity() {
+        return capacityOfOneServer() * dataCentres.size();
+    }
+
+    double capacityOfOneServer() {
+        return service(bottleneck).slots() * (double) VirtualClock.SECOND / bottleneckMeanNanos;
+    }
+
+    /** Returns the same deployment with other requests of its callers. */
+    Deployment withWork(List<Work> otherWork, String otherBottleneck, long otherMeanNanos) {
+        return new Deployment(
+                name,
+                dataCentres,
+                link,
+                betweenDataCentresNanos,
+                toCallersNanos,
+                policy,
+                services,
+                otherWork,
+                otherBottleneck,
+                otherMeanNanos);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/InboundCall.java
@@ -0,0 +1,84 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.Optional;
+
+/**
+ * One attempt of a call as its serving node holds it.
+ *
+ * <p>Confined to one thread.
+ */
+final class InboundCall {
+    /** How far the serving node is with a call. */
+    enum State {
+        /** On its way to the serving node, or waiting there. */
+        WAITING,
+        /** Handed over to the backend server. */
+        RUNNING,
+        /** Answered, refused or cancelled. */
+        OVER
+    }
+
+    final OutboundCall call;
+    final Node entryNode;
+    final Node target;
+    final int allowance;
+    private long deadline;
+    private State state = State.WAITING;
+    private boolean onSlot;
+    private int children;
+    private Optional<OutboundCall> child = Optional.empty();
+
+    /**
+     * Creates an attempt.
+     *
+     * @param entryNode the node that sends it
+     * @param target the node that serves it
+     * @param allowance the retries that the calls made for this one may use
+     */
+    InboundCall(OutboundCall call, Node entryNode, Node target, int allowance) {
+        this.call = call;
+        this.entryNode = entryNode;
+        this.target = target;
+        this.allowance = allowance;
+    }
+
+    State state() {
+        return state;
+    }
+
+    void setState(State next) {
+        state = next;
+    }
+
+    /** Returns the virtual time by which the answer is wanted, as the serving node reckons it. */
+    long deadline() {
+        return deadline;
+    }
+
+    void setDeadline(long time) {
+        deadline = time;
+    }
+
+    boolean onSlot() {
+        return onSlot;
+    }
+
+    void setOnSlot() {
+        onSlot = true;
+    }
+
+    /** Returns the next call to make for this one, if there is one. */
+    Optional<Work> nextChild() {
+        return children < call.work.children().size()
+                ? Optional.of(call.work.children().get(children++))
+                : Optional.empty();
+    }
+
+    Optional<OutboundCall> child() {
+        return child;
+    }
+
+    void setChild(OutboundCall next) {
+        child = Optional.of(next);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/LimitServingPolicy.java
@@ -0,0 +1,82 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.plantainshunt.result.ResultCode;
+
+/**
+ * The baselines at the serving node: a limit on the calls handed over and a bounded queue in order of arrival.
+ *
+ * <p>Confined to one thread.
+ */
+final class LimitServingPolicy implements ServingPolicy {
+    private static final int ADMIT_ALL = 512;
+
+    private final Node node;
+    private final int limit;
+    private final int queueLimit;
+    private final Deque<InboundCall> queue = new ArrayDeque<>();
+    private int handedOver;
+
+    private LimitServingPolicy(Node node, int limit, int queueLimit) {
+        this.node = node;
+        this.limit = limit;
+        this.queueLimit = queueLimit;
+    }
+
+    static LimitServingPolicy unlimited(Node node) {
+        return new LimitServingPolicy(node, Integer.MAX_VALUE, 0);
+    }
+
+    /** Hands over as many calls as the server has slots, and queues as many as its service allows. */
+    static LimitServingPolicy fixedLimit(Node node) {
+        return new LimitServingPolicy(node, node.service.slots(), node.service.queue());
+    }
+
+    /** Refuses calls when all connections of the server are taken; the server queues calls itself. */
+    static LimitServingPolicy connectionLimit(Node node) {
+        return new LimitServingPolicy(node, node.service.connections(), 0);
+    }
+
+    @Override
+    public void arrived(InboundCall call, long now) {
+        if (handedOver < limit) {
+            handedOver++;
+            node.handOver(call);
+        } else if (queue.size() < queueLimit) {
+            queue.add(call);
+        } else {
+            node.refuse(call, ResultCode.OVERLOADED, 0);
+        }
+    }
+
+    @Override
+    public void finished(InboundCall call, boolean answered, long now) {
+        handedOver--;
+        if (!queue.isEmpty() && handedOver < limit) {
+            handedOver++;
+            node.handOver(queue.poll());
+        }
+    }
+
+    @Override
+    public boolean cancel(InboundCall call, long now) {
+        return queue.remove(call);
+    }
+
+    @Override
+    public void tick(long now) {
+        // Nothing here depends on time.
+    }
+
+    @Override
+    public int level() {
+        return ADMIT_ALL;
+    }
+
+    @Override
+    public int queued() {
+        return queue.size();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
@@ -0,0 +1,198 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+import org.HdrHistogram.Histogram;
+import org.plantainshunt.configuration.PriorityClass;
+import org.plantainshunt.result.ResultCode;
+
+/**
+ * What the callers of one run saw, by second and class.
+ *
+ * <p>A request counts once, however often its caller repeats it. Confined to one thread.
+ */
+final class Measurements {
+    private static final int CLASSES = PriorityClass.values().length;
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    private final int measuredFrom;
+    private final int seconds;
+    private final long[][] sent;
+    private final long[][] completed;
+    private final long[][] refusals;
+    private final long[] goodAt;
+    private final Map<ResultCode, Long> failures = new EnumMap<>(ResultCode.class);
+    private final Histogram latency = new Histogram(SIGNIFICANT_DIGITS);
+    private final Histogram stragglerLatency = new Histogram(SIGNIFICANT_DIGITS);
+    private long received;
+    private long retries;
+    private int mostRetries;
+    private long shortSent;
+    private long linkBytes;
+    private long importantLinkBytes;
+
+    Measurements(int seconds, int measuredFrom) {
+        this.seconds = seconds;
+        this.measuredFrom = measuredFrom;
+        sent = new long[CLASSES][seconds + 1];
+        completed = new long[CLASSES][seconds + 1];
+        refusals = new long[CLASSES][seconds + 1];
+        goodAt = new long[seconds + 1];
+    }
+
+    /** Counts a new request; repeats by the caller are not counted here. */
+    void sent(Request request) {
+        sent[request.priorityClass().ordinal()][second(request.sentAt)]++;
+        if (isMeasured(request) && !request.straggler) {
+            shortSent++;
+        }
+    }
+
+    /** Counts a whole answer that reached its caller within the deadline. */
+    void completed(Request request, long now) {
+        completed[request.priorityClass().ordinal()][second(request.firstSentAt)]++;
+        goodAt[second(now)]++;
+        if (isMeasured(request)) {
+            (request.straggler ? stragglerLatency : latency).recordValue(now - request.firstSentAt);
+        }
+    }
+
+    /** Counts a refusal or another failure that reached a caller. */
+    void failed(Request request, ResultCode code, long now) {
+        if (now >= measuredFrom * VirtualClock.SECOND) {
+            failures.merge(code, 1L, Long::sum);
+        }
+        if (code.runState() == org.plantainshunt.result.RunState.NOT_RUN) {
+            refusals[request.priorityClass().ordinal()][second(now)]++;
+        }
+    }
+
+    /** Counts the retries in the whole chain of one request that an entry node received. */
+    void chainEnded(Request request) {
+        received++;
+        retries += request.retries();
+        mostRetries = Math.max(mostRetries, request.retries());
+    }
+
+    void setLinkBytes(long all, long important) {
+        linkBytes = all;
+        importantLinkBytes = important;
+    }
+
+    /** Returns the good answers per second over the measured seconds. */
+    double goodput() {
+        return goodput(measuredFrom, seconds);
+    }
+
+    /** Returns the good answers per second that arrived from one second to before another. */
+    double goodput(int from, int to) {
+        long sum = 0;
+        for (int second = from; second < to; second++) {
+            sum += goodAt[second];
+        }
+        return (double) sum / (to - from);
+    }
+
+    /** Returns the share of the requests of a class, sent from one second to before another, that completed. */
+    double completion(PriorityClass priorityClass, int from, int to) {
+        long all = 0;
+        long good = 0;
+        for (int second = from; second < to; second++) {
+            all += sent[priorityClass.ordinal()][second];
+            good += completed[priorityClass.ordinal()][second];
+        }
+        return all == 0 ? 1 : (double) good / all;
+    }
+
+    /** Returns the share of the critical and important requests that completed. */
+    double importantCompletion(int from, int to) {
+        long all = 0;
+        long good = 0;
+        for (int ordinal = 0; ordinal <= PriorityClass.IMPORTANT.ordinal(); ordinal++) {
+            for (int second = from; second < to; second++) {
+                all += sent[ordinal][second];
+                good += completed[ordinal][second];
+            }
+        }
+        return all == 0 ? 1 : (double) good / all;
+    }
+
+    /** Returns the requests sent from one second to before another. */
+    long sent(PriorityClass priorityClass, int from, int to) {
+        return sum(sent, priorityClass, from, to);
+    }
+
+    /** Returns the refusals ("not run") that reached callers from one second to before another. */
+    long refusals(PriorityClass priorityClass, int from, int to) {
+        return sum(refusals, priorityClass, from, to);
+    }
+
+    /** Returns the latency of short work in nanoseconds. */
+    long latency(double percentile) {
+        return latency.getValueAtPercentile(percentile);
+    }
+
+    /** Returns the share of the short requests that completed. */
+    double shortCompletion() {
+        return shortSent == 0 ? 1 : (double) latency.getTotalCount() / shortSent;
+    }
+
+    long stragglersCompleted() {
+        return stragglerLatency.getTotalCount();
+    }
+
+    Map<ResultCode, Long> failures() {
+        return Map.copyOf(failures);
+    }
+
+    double meanRetries() {
+        return received == 0 ? 0 : (double) retries / received;
+    }
+
+    /** Returns the largest number of retries in the chain of one received request. */
+    int mostRetries() {
+        return mostRetries;
+    }
+
+    long linkBytes() {
+        return linkBytes;
+    }
+
+    long importantLinkBytes() {
+        return importantLinkBytes;
+    }
+
+    int measuredFrom() {
+        return measuredFrom;
+    }
+
+    int seconds() {
+        return seconds;
+    }
+
+    /** Returns the requests of all classes that were sent in the measured seconds. */
+    long measuredRequests() {
+        long all = 0;
+        for (PriorityClass priorityClass : PriorityClass.values()) {
+            all += sent(priorityClass, measuredFrom, seconds);
+        }
+        return all;
+    }
+
+    private long sum(long[][] counts, PriorityClass priorityClass, int from, int to) {
+        long all = 0;
+        for (int second = from; second < to; second++) {
+            all += counts[priorityClass.ordinal()][second];
+        }
+        return all;
+    }
+
+    private boolean isMeasured(Request request) {
+        return request.firstSentAt >= measuredFrom * VirtualClock.SECOND;
+    }
+
+    private int second(long time) {
+        return (int) Math.min(seconds, time / VirtualClock.SECOND);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Network.java
@@ -0,0 +1,74 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.List;
+
+import org.plantainshunt.configuration.DataCentre;
+import org.plantainshunt.configuration.PriorityClass;
+
+/**
+ * A fake of the network: latency by distance, and one queue for each direction of the link between the regions.
+ *
+ * <p>Confined to one thread.
+ */
+final class Network {
+    private static final long SAME_VM = 20 * VirtualClock.MICROSECOND;
+    private static final long SAME_DATA_CENTRE = 200 * VirtualClock.MICROSECOND;
+    private static final int BITS_PER_BYTE = 8;
+
+    private final VirtualClock clock;
+    private final Deployment deployment;
+    private final long[] linkFreeAt = new long[2];
+    private final long[] linkBytes = new long[PriorityClass.values().length];
+    private final long countFrom;
+
+    /**
+     * Creates the network.
+     *
+     * @param countFrom the virtual time from which bytes over the link are counted
+     */
+    Network(VirtualClock clock, Deployment deployment, long countFrom) {
+        this.clock = clock;
+        this.deployment = deployment;
+        this.countFrom = countFrom;
+    }
+
+    /** Delivers a message between nodes after the latency and the wait for the link. */
+    void send(Node from, Node to, int bytes, PriorityClass priorityClass, Runnable arrival) {
+        clock.after(delay(from, to, bytes, priorityClass), arrival);
+    }
+
+    /** Returns the bytes that crossed the link for a class. */
+    long linkBytes(PriorityClass priorityClass) {
+        return linkBytes[priorityClass.ordinal()];
+    }
+
+    private long delay(Node from, Node to, int bytes, PriorityClass priorityClass) {
+        if (from == to) {
+            return SAME_VM;
+        }
+        if (from.dataCentre == to.dataCentre) {
+            return SAME_DATA_CENTRE;
+        }
+        if (sameRegion(from.dataCentre, to.dataCentre)) {
+            return deployment.betweenDataCentresNanos();
+        }
+        return linkWait(from, bytes, priorityClass)
+                + deployment.link().latency().toNanos();
+    }
+
+    private long linkWait(Node from, int bytes, PriorityClass priorityClass) {
+        int direction = from.region().equals(deployment.link().regionA()) ? 0 : 1;
+        long sendTime =
+                bytes * BITS_PER_BYTE * VirtualClock.SECOND / deployment.link().bitsPerSecond();
+        linkFreeAt[direction] = Math.max(clock.now(), linkFreeAt[direction]) + sendTime;
+        if (clock.now() >= countFrom) {
+            linkBytes[priorityClass.ordinal()] += bytes;
+        }
+        return linkFreeAt[direction] - clock.now();
+    }
+
+    private boolean sameRegion(int a, int b) {
+        List<DataCentre> dataCentres = deployment.dataCentres();
+        return dataCentres.get(a).region().equals(dataCentres.get(b).region());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PolicySet.java
@@ -0,0 +1,46 @@
+package org.plantainshunt.bench.policy;
+
+/** The policies that each scenario compares. */
+enum PolicySet {
+    /** The decision classes of this project. */
+    PLANTAINSHUNT("plantainshunt", true),
+    /** No control: every call is handed over at once. */
+    NO_CONTROL("no control", false),
+    /** A fixed concurrency limit with a bounded first-in-first-out queue. */
+    FIXED_LIMIT("fixed limit", false),
+    /** Round robin with three retries per hop. */
+    ROUND_ROBIN("round robin, 3 retries", false);
+
+    private final String title;
+    private final boolean carriesDeadlines;
+
+    PolicySet(String title, boolean carriesDeadlines) {
+        this.title = title;
+        this.carriesDeadlines = carriesDeadlines;
+    }
+
+    String title() {
+        return title;
+    }
+
+    /** Returns whether deadlines and cancellations travel down the chain; otherwise each attempt has its kind's. */
+    boolean carriesDeadlines() {
+        return carriesDeadlines;
+    }
+
+    EntryPolicy entryPolicy(Simulation simulation, Node node) {
+        if (this == PLANTAINSHUNT) {
+            throw new IllegalStateException("not there yet");
+        }
+        return new BaselineEntryPolicy(simulation, node, this == ROUND_ROBIN);
+    }
+
+    ServingPolicy servingPolicy(Simulation simulation, Node node) {
+        return switch (this) {
+            case PLANTAINSHUNT -> throw new IllegalStateException("not there yet");
+            case NO_CONTROL -> LimitServingPolicy.unlimited(node);
+            case FIXED_LIMIT -> LimitServingPolicy.fixedLimit(node);
+            case ROUND_ROBIN -> LimitServingPolicy.connectionLimit(node);
+        };
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Request.java
@@ -0,0 +1,53 @@
+package org.plantainshunt.bench.policy;
+
+import org.plantainshunt.configuration.PriorityClass;
+
+/**
+ * One request that a caller sends to an entry node; a repeat by the caller is a further request.
+ *
+ * <p>All calls of the chain share this object, so that the retries of all hops can be counted. Confined to one thread.
+ */
+final class Request {
+    final long id;
+    final Work work;
+    final long firstSentAt;
+    final long sentAt;
+    final long deadline;
+    final int attempt;
+    final int statedAttempt;
+    final boolean straggler;
+    private int retries;
+
+    /**
+     * Creates a request.
+     *
+     * @param id the request id, the same for all repeats
+     * @param firstSentAt when the first attempt was sent
+     * @param sentAt when this attempt is sent
+     * @param attempt the number of this attempt, 1 for the first
+     * @param statedAttempt the attempt number that the caller states
+     */
+    Request(long id, Work work, long firstSentAt, long sentAt, int attempt, int statedAttempt, boolean straggler) {
+        this.id = id;
+        this.work = work;
+        this.firstSentAt = firstSentAt;
+        this.sentAt = sentAt;
+        this.deadline = sentAt + work.kind().deadline().toNanos();
+        this.attempt = attempt;
+        this.statedAttempt = statedAttempt;
+        this.straggler = straggler;
+    }
+
+    PriorityClass priorityClass() {
+        return work.kind().priorityClass();
+    }
+
+    void countRetry() {
+        retries++;
+    }
+
+    /** Returns the retries by entry nodes over the whole chain of this request. */
+    int retries() {
+        return retries;
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/plantainshunt/bench/policy/VirtualClockTest.java
@@ -0,0 +1,39 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class VirtualClockTest {
+    /** Guards against a run that depends on the heap's order of events with equal times. */
+    @Test
+    void runsEventsOfEqualTimeInTheOrderOfTheirAddition() {
+        VirtualClock clock = new VirtualClock();
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            int number = i;
+            clock.after(5, () -> order.add(number));
+        }
+        clock.after(4, () -> order.add(-1));
+        clock.runUntil(5);
+        List<Integer> expected = new ArrayList<>(List.of(-1));
+        for (int i = 0; i < 100; i++) {
+            expected.add(i);
+        }
+        assertEquals(expected, order);
+    }
+
+    /** Guards against events past the end, which would count work that no caller waits for any more. */
+    @Test
+    void leavesLaterEventsAlone() {
+        VirtualClock clock = new VirtualClock();
+        List<Long> times = new ArrayList<>();
+        clock.every(10, () -> times.add(clock.now()));
+        clock.runUntil(25);
+        assertEquals(List.of(0L, 10L, 20L), times);
+        assertEquals(25, clock.now());
+    }
+}
