--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/CrestScenario.java
@@ -0,0 +1,61 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.List;
+
+import org.plantainshunt.bench.policy.ScenarioTable.Row;
+
+/** Demand grows to five times within 2 s; the important work alone takes 80 % of the capacity at the peak. */
+final class CrestScenario extends Scenario {
+    private static final int MEASURED_FROM = 5;
+    private static final int RISE_FROM = 10;
+    private static final int PEAK_FROM = 12;
+    private static final int PEAK_TO = 20;
+    private static final int SECONDS = 24;
+    private static final double USUAL_LOAD = 0.8;
+    private static final int SWING = 5;
+    private static final double LEAST_SHARE = 0.99;
+
+    @Override
+    ScenarioTable run(long seed) {
+        return ScenarioTable.of(
+                "Crest",
+                "critical and important requests sent from the start of the rise to the end of the peak complete "
+                        + "to at least 99 %",
+                List.of(
+                        "deployment",
+                        "policy",
+                        "important work",
+                        "in the rise",
+                        "at the peak",
+                        "goodput at the peak",
+                        "retries mean / most"),
+                runAll(forAll((deployment, policies) -> () -> row(deployment, policies, seed))));
+    }
+
+    private static Row row(Deployment deployment, PolicySet policies, long seed) {
+        double usual = USUAL_LOAD * deployment.capacity();
+        Conditions conditions =
+                Conditions.steady(SECONDS, MEASURED_FROM, usual).withDemand(second -> usual * swing(second));
+        Measurements measured = simulate(deployment, policies, conditions, seed);
+        double important = measured.importantCompletion(RISE_FROM, PEAK_TO);
+        return new Bounds(deployment, policies, "")
+                .require(important >= LEAST_SHARE, "important work completed " + percent(important))
+                .requireRetries(measured, deployment)
+                .row(List.of(
+                        deployment.name(),
+                        policies.title(),
+                        percent(important),
+                        percent(measured.importantCompletion(RISE_FROM, PEAK_FROM)),
+                        percent(measured.importantCompletion(PEAK_FROM, PEAK_TO)),
+                        percent(measured.goodput(PEAK_FROM, PEAK_TO) / deployment.capacity()),
+                        retries(measured)));
+    }
+
+    private static double swing(double second) {
+        if (second < RISE_FROM || second >= PEAK_TO) {
+            return 1;
+        }
+        double risen = Math.min(1, (second - RISE_FROM) / (PEAK_FROM - RISE_FROM));
+        return 1 + (SWING - 1) * risen;
+    }
+}
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
@@ -6,6 +6,7 @@
 import org.HdrHistogram.Histogram;
 import org.plantainshunt.configuration.PriorityClass;
 import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
 
 /**
  * What the callers of one run saw, by second and class.
@@ -49,9 +50,15 @@
         }
     }
 
-    /** Counts a whole answer that reached its caller within the deadline. */
+    /**
+     * Counts a whole answer that reached its caller within the deadline of its attempt.
+     *
+     * <p>It counts as goodput; for the completion by class it counts only within the deadline of the first attempt.
+     */
     void completed(Request request, long now) {
-        completed[request.priorityClass().ordinal()][second(request.firstSentAt)]++;
+        if (now - request.firstSentAt <= request.work.kind().deadline().toNanos()) {
+            completed[request.priorityClass().ordinal()][second(request.firstSentAt)]++;
+        }
         goodAt[second(now)]++;
         if (isMeasured(request)) {
             (request.straggler ? stragglerLatency : latency).recordValue(now - request.firstSentAt);
@@ -63,7 +70,7 @@
         if (now >= measuredFrom * VirtualClock.SECOND) {
             failures.merge(code, 1L, Long::sum);
         }
-        if (code.runState() == org.plantainshunt.result.RunState.NOT_RUN) {
+        if (code.runState() == RunState.NOT_RUN) {
             refusals[request.priorityClass().ordinal()][second(now)]++;
         }
     }
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PolicyBenchmarks.java
@@ -0,0 +1,39 @@
+package org.plantainshunt.bench.policy;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/**
+ * Prints the tables of all policy benchmarks in Markdown.
+ *
+ * <p>The property {@code seed} replaces the default seed.
+ */
+public final class PolicyBenchmarks {
+    private PolicyBenchmarks() {}
+
+    /** Runs all scenarios, or those whose class names start with one of the arguments. */
+    public static void main(String[] arguments) {
+        PrintStream out = System.out;
+        out.println("Seed " + Scenario.seed() + ".\n");
+        for (Scenario scenario : scenarios()) {
+            if (isWanted(scenario, List.of(arguments))) {
+                out.println(scenario.run(Scenario.seed()).markdown());
+            }
+        }
+    }
+
+    static List<Scenario> scenarios() {
+        return List.of(
+                new GoodputScenario(),
+                new RecoveryScenario(),
+                new CrestScenario(),
+                new ShedOrderScenario(),
+                new HeadOfLineScenario(),
+                new TailLatencyScenario(),
+                new CrossRegionScenario());
+    }
+
+    private static boolean isWanted(Scenario scenario, List<String> names) {
+        return names.isEmpty() || names.stream().anyMatch(scenario.getClass().getSimpleName()::startsWith);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/RecoveryScenario.java
@@ -0,0 +1,84 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.List;
+import java.util.OptionalInt;
+
+import org.plantainshunt.bench.policy.Conditions.Repeats;
+import org.plantainshunt.bench.policy.Conditions.SlowDown;
+import org.plantainshunt.bench.policy.ScenarioTable.Row;
+
+/** The bottleneck slows to a fifth for 30 s while demand doubles and callers repeat at once. */
+final class RecoveryScenario extends Scenario {
+    private static final int MEASURED_FROM = 5;
+    private static final int TRIGGER_FROM = 10;
+    private static final int TRIGGER_TO = 40;
+    private static final int SECONDS = 70;
+    private static final double USUAL_LOAD = 0.7;
+    private static final int SLOW_FACTOR = 5;
+    private static final double BACK_SHARE = 0.95;
+    private static final int LONGEST_RECOVERY = 5;
+
+    @Override
+    ScenarioTable run(long seed) {
+        return ScenarioTable.of(
+                "Recovery",
+                "goodput is back within 5 % at most 5 s after the trigger has ended, and stays there",
+                List.of(
+                        "deployment",
+                        "policy",
+                        "goodput before",
+                        "during",
+                        "last 10 s",
+                        "seconds to recovery",
+                        "important work during",
+                        "retries mean / most"),
+                runAll(forAll((deployment, policies) -> () -> row(deployment, policies, seed))));
+    }
+
+    private static Row row(Deployment deployment, PolicySet policies, long seed) {
+        Measurements measured = simulate(deployment, policies, conditions(deployment), seed);
+        double before = measured.goodput(MEASURED_FROM, TRIGGER_FROM);
+        OptionalInt recovery = secondsToRecovery(measured, before);
+        String seconds = recovery.isPresent() ? Integer.toString(recovery.getAsInt()) : "not within 30";
+        double capacity = deployment.capacity();
+        return new Bounds(deployment, policies, "")
+                .require(
+                        recovery.isPresent() && recovery.getAsInt() <= LONGEST_RECOVERY,
+                        "seconds to recovery: " + seconds)
+                .requireRetries(measured, deployment)
+                .row(List.of(
+                        deployment.name(),
+                        policies.title(),
+                        percent(before / capacity),
+                        percent(measured.goodput(TRIGGER_FROM, TRIGGER_TO) / capacity),
+                        percent(measured.goodput(SECONDS - 10, SECONDS) / capacity),
+                        seconds,
+                        percent(measured.importantCompletion(TRIGGER_FROM, TRIGGER_TO)),
+                        retries(measured)));
+    }
+
+    private static Conditions conditions(Deployment deployment) {
+        double usual = USUAL_LOAD * deployment.capacity();
+        SlowDown slowDown = (place, now) ->
+                place.service().equals(deployment.bottleneck()) && isTriggered((double) now / VirtualClock.SECOND)
+                        ? SLOW_FACTOR
+                        : 1;
+        return Conditions.steady(SECONDS, MEASURED_FROM, usual)
+                .withDemand(second -> isTriggered(second) ? 2 * usual : usual)
+                .withRepeats(Repeats.HARD)
+                .withSlowDown(slowDown);
+    }
+
+    private static boolean isTriggered(double second) {
+        return second >= TRIGGER_FROM && second < TRIGGER_TO;
+    }
+
+    /** Returns the seconds from the end of the trigger to the first second from which goodput stays at its value. */
+    private static OptionalInt secondsToRecovery(Measurements measured, double before) {
+        int second = SECONDS;
+        while (second > TRIGGER_TO && measured.goodput(second - 1, second) >= BACK_SHARE * before) {
+            second--;
+        }
+        return second == SECONDS ? OptionalInt.empty() : OptionalInt.of(second - TRIGGER_TO);
+    }
+}
