--- a/bench/src/main/java/org/plantainshunt/bench/policy/Request.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Request.java
@@ -1,5 +1,6 @@
 package org.plantainshunt.bench.policy;
 
+import org.plantainshunt.admission.Priority;
 import org.plantainshunt.configuration.PriorityClass;
 
 /**
@@ -9,6 +10,10 @@
  */
 final class Request {
     final long id;
+    /** The request id as text. */
+    final String name;
+
+    final Priority priority;
     final Work work;
     final long firstSentAt;
     final long sentAt;
@@ -29,6 +34,8 @@
      */
     Request(long id, Work work, long firstSentAt, long sentAt, int attempt, int statedAttempt, boolean straggler) {
         this.id = id;
+        this.name = Long.toString(id);
+        this.priority = Priority.of(work.kind().priorityClass(), Priority.cohortOf(name));
         this.work = work;
         this.firstSentAt = firstSentAt;
         this.sentAt = sentAt;
