Run the routing and retry classes as the entry policy of the harness

Cause: the scenarios compare the real decision classes with baselines.

Ruled out: an allowance of three for each repeat that a caller states; a stated repeat counts as one of the request's retries, so the whole request stays within its bound.

Change: an adapter between the harness and BackendServerChoice, DownstreamLevels, RetryBudget, LinkBudget and the allowances.

--- a/bench/src/main/java/org/plantainshunt/bench/policy/BaselineEntryPolicy.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/BaselineEntryPolicy.java
@@ -40,6 +40,11 @@
         // The baselines learn nothing from replies.
     }
 
+    @Override
+    public void closed(OutboundCall call) {
+        // The baselines keep no account of retries.
+    }
+
     @Override
     public Map<String, Integer> levels(long now) {
         return Map.of();
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Deployment.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Deployment.java
@@ -1,8 +1,10 @@
 package org.plantainshunt.bench.policy;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.plantainshunt.configuration.DataCentre;
+import org.plantainshunt.configuration.Kind;
 import org.plantainshunt.configuration.Link;
 import org.plantainshunt.configuration.Policy;
 import org.plantainshunt.configuration.Service;
@@ -44,6 +46,25 @@
         throw new IllegalArgumentException("deployment " + name + " has no service " + wanted);
     }
 
+    /** Returns a kind that callers request or backend servers call. */
+    Optional<Kind> kind(String service, String kind) {
+        return kind(work, service, kind);
+    }
+
+    private static Optional<Kind> kind(List<Work> among, String service, String name) {
+        for (Work candidate : among) {
+            Kind kind = candidate.kind();
+            if (kind.service().equals(service) && kind.name().equals(name)) {
+                return Optional.of(kind);
+            }
+            Optional<Kind> deeper = kind(candidate.children(), service, name);
+            if (deeper.isPresent()) {
+                return deeper;
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Returns the requests per second that the bottleneck's slots can serve at its mean service time. */
     double capacity() {
         return capacityOfOneServer() * dataCentres.size();
--- a/bench/src/main/java/org/plantainshunt/bench/policy/EntryPolicy.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/EntryPolicy.java
@@ -14,6 +14,9 @@
     /** Takes note of the end of an attempt, whether by a reply or because the time ran out. */
     void ended(OutboundCall call, Node server, Reply reply, long now);
 
+    /** Takes note of the end of a call with all its attempts. */
+    void closed(OutboundCall call);
+
     /** Returns the admission levels that the node passes on with its own answers, by service. */
     Map<String, Integer> levels(long now);
 
--- a/bench/src/main/java/org/plantainshunt/bench/policy/InboundCall.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/InboundCall.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 
+import org.plantainshunt.retry.Share;
+
 /**
  * One attempt of a call as its serving node holds it.
  *
@@ -21,7 +23,7 @@
     final OutboundCall call;
     final Node entryNode;
     final Node target;
-    final int allowance;
+    final Share share;
     private long deadline;
     private State state = State.WAITING;
     private boolean onSlot;
@@ -33,13 +35,13 @@
      *
      * @param entryNode the node that sends it
      * @param target the node that serves it
-     * @param allowance the retries that the calls made for this one may use
+     * @param share the retries that the calls made for this one may use
      */
-    InboundCall(OutboundCall call, Node entryNode, Node target, int allowance) {
+    InboundCall(OutboundCall call, Node entryNode, Node target, Share share) {
         this.call = call;
         this.entryNode = entryNode;
         this.target = target;
-        this.allowance = allowance;
+        this.share = share;
     }
 
     State state() {
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Node.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Node.java
@@ -64,15 +64,15 @@
     private void call(OutboundCall call) {
         EntryPolicy.Route route = entry.first(call, now());
         if (route.refusal().isPresent()) {
-            call.end(route.refusal().get());
+            end(call, route.refusal().get());
             return;
         }
         send(call, route.server().orElseThrow());
     }
 
     private void send(OutboundCall call, Node target) {
-        InboundCall inbound = new InboundCall(call, this, target, call.allowance());
-        call.startAttempt(inbound, now());
+        InboundCall inbound = new InboundCall(call, this, target, call.attemptShare());
+        call.startAttempt(inbound);
         long remaining = simulation.policies().carriesDeadlines()
                 ? call.deadline - now()
                 : call.work.kind().deadline().toNanos();
@@ -107,10 +107,15 @@
             call.request.countRetry();
             send(call, next.get());
         } else {
-            call.end(reply.withUnusedAllowance(call.allowance()));
+            end(call, reply);
         }
     }
 
+    private void end(OutboundCall call, Reply reply) {
+        entry.closed(call);
+        call.end(reply);
+    }
+
     private void arrive(InboundCall inbound, long remaining) {
         if (inbound.state() == State.OVER) {
             return;
@@ -163,6 +168,9 @@
 
     @Override
     public void refuse(InboundCall inbound, ResultCode code, long retryAfterMilliseconds) {
+        if (inbound.state() == State.OVER) {
+            return;
+        }
         inbound.setState(State.OVER);
         Reply refusal = new Reply(code, false, retryAfterMilliseconds, entry.closeAllowance(inbound), report());
         reply(inbound, refusal, REFUSAL_BYTES);
@@ -196,7 +204,7 @@
         transmit(target, CANCEL_BYTES, child.request, () -> target.cancel(inbound));
         Reply reply = Reply.refused(ResultCode.CANCELLED_RUNNING, 0);
         entry.ended(child, target, reply, now());
-        child.end(reply);
+        end(child, reply);
     }
 
     private void leaveServer(InboundCall inbound) {
@@ -222,8 +230,8 @@
         }
     }
 
-    private Report report() {
-        return reports.isEmpty() ? currentReport() : reports.peek().report();
+    private Optional<Report> report() {
+        return Optional.of(reports.isEmpty() ? currentReport() : reports.peek().report());
     }
 
     private Report currentReport() {
--- a/bench/src/main/java/org/plantainshunt/bench/policy/OutboundCall.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/OutboundCall.java
@@ -5,21 +5,28 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import org.plantainshunt.retry.AttemptAllowance;
+import org.plantainshunt.retry.Share;
+
 /**
  * A call as its entry node holds it, over all its attempts.
  *
  * <p>Confined to one thread.
  */
 final class OutboundCall {
+    private static final Share NO_RETRIES = new Share(0, false);
+
     final Request request;
     final Work work;
     final long deadline;
     final Optional<InboundCall> parent;
-    final Set<Integer> tried = new HashSet<>();
+    /** The names of the nodes that have been tried. */
+    final Set<String> tried = new HashSet<>();
+
     private final Consumer<Reply> done;
     private Optional<InboundCall> running = Optional.empty();
-    private long attemptStartedAt;
-    private int allowance;
+    private Optional<AttemptAllowance> allowance = Optional.empty();
+    private Share attemptShare = NO_RETRIES;
     private int attempts;
     private boolean over;
 
@@ -38,10 +45,10 @@
         this.done = done;
     }
 
-    void startAttempt(InboundCall inbound, long now) {
+    void startAttempt(InboundCall inbound) {
         running = Optional.of(inbound);
-        attemptStartedAt = now;
         attempts++;
+        tried.add(inbound.target.name());
     }
 
     boolean isRunning(InboundCall inbound) {
@@ -52,20 +59,26 @@
         return running;
     }
 
-    long attemptStartedAt() {
-        return attemptStartedAt;
-    }
-
     int attempts() {
         return attempts;
     }
 
-    int allowance() {
+    /** Returns the retries that this call may use, if the policy bounds them over the chain. */
+    Optional<AttemptAllowance> allowance() {
         return allowance;
     }
 
-    void setAllowance(int retries) {
-        allowance = retries;
+    void setAllowance(AttemptAllowance retries) {
+        allowance = Optional.of(retries);
+    }
+
+    /** Returns the share that travels with the next or running attempt. */
+    Share attemptShare() {
+        return attemptShare;
+    }
+
+    void setAttemptShare(Share share) {
+        attemptShare = share;
     }
 
     boolean over() {
--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
@@ -0,0 +1,225 @@
+package org.plantainshunt.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.plantainshunt.configuration.DataCentre;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
+import org.plantainshunt.retry.AllowanceLedger;
+import org.plantainshunt.retry.AttemptAllowance;
+import org.plantainshunt.retry.RetryBudget;
+import org.plantainshunt.retry.Share;
+import org.plantainshunt.routing.BackendServerChoice;
+import org.plantainshunt.routing.Distance;
+import org.plantainshunt.routing.DownstreamLevels;
+import org.plantainshunt.routing.LinkBudget;
+import org.plantainshunt.routing.Upstream;
+import org.plantainshunt.routing.UpstreamEnd;
+
+/**
+ * The choice of backend server, the downstream levels, the retry bounds and the link budget as an entry node uses them.
+ *
+ * <p>Confined to one thread.
+ */
+final class PlantainshuntEntryPolicy implements EntryPolicy {
+    private static final long REPEAT_AFTER_MILLISECONDS = 1_000;
+
+    private final Simulation simulation;
+    private final Node node;
+    private final BackendServerChoice choice;
+    private final DownstreamLevels levels;
+    private final RetryBudget budget;
+    private final LinkBudget link;
+    private final Map<String, List<Upstream>> upstreams = new HashMap<>();
+    private final Map<String, Node> nodes = new HashMap<>();
+    private final Map<InboundCall, AllowanceLedger> ledgers = new IdentityHashMap<>();
+    private final Map<OutboundCall, Long> callIds = new IdentityHashMap<>();
+    private final Map<OutboundCall, Share> shares = new IdentityHashMap<>();
+    private long nextCallId;
+
+    PlantainshuntEntryPolicy(Simulation simulation, Node node) {
+        this.simulation = simulation;
+        this.node = node;
+        choice = new BackendServerChoice(simulation.newRandom());
+        levels = new DownstreamLevels(simulation.deployment()::kind);
+        budget = new RetryBudget(simulation.deployment().policy().retryBudget());
+        link = new LinkBudget(simulation.deployment().link().bitsPerSecond(), simulation.nodesIn(node.region()));
+    }
+
+    @Override
+    public Route first(OutboundCall call, long now) {
+        Optional<Share> share = call.parent.isPresent() ? shareOf(call, call.parent.get()) : shareOf(call.request, now);
+        if (share.isEmpty()) {
+            return Route.refuse(Reply.refused(ResultCode.RETRY_BOUND_REACHED, 0));
+        }
+        if (now >= call.deadline) {
+            return Route.refuse(Reply.refused(ResultCode.DEADLINE_TOO_SHORT, 0));
+        }
+        Optional<Refusal> refusal = levels.check(call.work.kind(), call.request.priority.value(), now);
+        if (refusal.isPresent()) {
+            return Route.refuse(
+                    Reply.refused(refusal.get().code(), refusal.get().retryAfterMilliseconds()));
+        }
+        AttemptAllowance allowance = new AttemptAllowance(share.get(), declaredBelow(call.work));
+        call.setAllowance(allowance);
+        call.setAttemptShare(allowance.firstAttempt());
+        budget.attempted(now);
+        return choose(call, now);
+    }
+
+    @Override
+    public Optional<Node> next(OutboundCall call, Reply failed, long now) {
+        if (!failed.code().retryElsewhere() || now >= call.deadline) {
+            return Optional.empty();
+        }
+        if (levels.check(call.work.kind(), call.request.priority.value(), now).isPresent() || !budget.tryRetry(now)) {
+            return Optional.empty();
+        }
+        Optional<Share> share = call.allowance().orElseThrow().retry(false);
+        if (share.isEmpty()) {
+            return Optional.empty();
+        }
+        call.setAttemptShare(share.get());
+        return choose(call, now).server();
+    }
+
+    @Override
+    public void ended(OutboundCall call, Node server, Reply reply, long now) {
+        Upstream upstream = upstream(server);
+        upstream.ended(callIds.remove(call), end(reply), now);
+        if (reply.report().isEmpty()) {
+            return;
+        }
+        Report report = reply.report().get();
+        call.allowance().orElseThrow().giveBack(call.attemptShare(), reply.unusedAllowance());
+        upstream.reported(report.inFlight(), report.queued(), now);
+        levels.report(server.name(), server.service.name(), report.level(), now);
+        report.levels().forEach((service, level) -> levels.report(server.name(), service, level, now));
+    }
+
+    @Override
+    public void closed(OutboundCall call) {
+        Share share = shares.remove(call);
+        if (share == null || call.parent.isEmpty()) {
+            return;
+        }
+        AllowanceLedger ledger = ledgers.get(call.parent.get());
+        if (ledger != null) {
+            ledger.giveBack(
+                    share, call.allowance().map(AttemptAllowance::remaining).orElse(share.allowance()));
+        }
+    }
+
+    @Override
+    public Map<String, Integer> levels(long now) {
+        return levels.levels(now);
+    }
+
+    @Override
+    public int closeAllowance(InboundCall inbound) {
+        AllowanceLedger ledger = ledgers.remove(inbound);
+        return ledger == null ? inbound.share.allowance() : ledger.close();
+    }
+
+    /** Returns the share of a request from outside; each stated repeat counts as one of its retries. */
+    private Optional<Share> shareOf(Request request, long now) {
+        int repeats = request.statedAttempt - 1;
+        int bound = simulation.deployment().policy().retriesPerRequest();
+        if (repeats > bound || repeats > 0 && !budget.tryRetry(now)) {
+            return Optional.empty();
+        }
+        return Optional.of(new Share(bound - repeats, false));
+    }
+
+    private Optional<Share> shareOf(OutboundCall call, InboundCall parent) {
+        AllowanceLedger ledger = ledgers.computeIfAbsent(
+                parent,
+                key -> AllowanceLedger.of(key.share, key.call.work.kind().calls()));
+        Kind kind = call.work.kind();
+        Optional<Share> share = ledger.take(kind.service(), kind.name());
+        share.ifPresent(taken -> shares.put(call, taken));
+        return share;
+    }
+
+    private Route choose(OutboundCall call, long now) {
+        List<Upstream> candidates = upstreams(call.work.kind().service());
+        Optional<Upstream> chosen = choice.choose(candidates, call.tried, call.request.priorityClass(), now);
+        if (chosen.isPresent() && !linkHasRoom(call, chosen.get(), now)) {
+            List<Upstream> near = new ArrayList<>(candidates);
+            near.removeIf(upstream -> upstream.distance() == Distance.OTHER_REGION);
+            chosen = choice.choose(near, call.tried, call.request.priorityClass(), now);
+            if (chosen.isEmpty()) {
+                return Route.refuse(Reply.refused(ResultCode.LINK_BUDGET_SPENT, REPEAT_AFTER_MILLISECONDS));
+            }
+        }
+        if (chosen.isEmpty()) {
+            return Route.refuse(Reply.refused(ResultCode.NO_BACKEND_SERVER, 0));
+        }
+        long id = nextCallId++;
+        callIds.put(call, id);
+        chosen.get().started(id, now);
+        return Route.to(nodes.get(chosen.get().vm().name()));
+    }
+
+    /** Takes room for the request and its expected answer, which a node learns from earlier answers of the kind. */
+    private boolean linkHasRoom(OutboundCall call, Upstream upstream, long now) {
+        return upstream.distance() != Distance.OTHER_REGION
+                || link.tryTake(call.request.priorityClass(), call.work.requestBytes() + call.work.answerBytes(), now);
+    }
+
+    private Upstream upstream(Node server) {
+        for (Upstream upstream : upstreams(server.service.name())) {
+            if (upstream.vm().name().equals(server.name())) {
+                return upstream;
+            }
+        }
+        throw new IllegalStateException("no upstream " + server.name());
+    }
+
+    private List<Upstream> upstreams(String service) {
+        return upstreams.computeIfAbsent(
+                service,
+                name -> simulation.servers(name).stream().map(this::view).toList());
+    }
+
+    private Upstream view(Node server) {
+        nodes.put(server.name(), server);
+        DataCentre place = simulation.deployment().dataCentres().get(server.dataCentre);
+        Vm vm = new Vm(server.name(), server.service.name(), place.name(), "127.0.0.1", 1, false);
+        return new Upstream(vm, distance(server), server.service.slots());
+    }
+
+    private Distance distance(Node server) {
+        if (server.dataCentre == node.dataCentre) {
+            return Distance.SAME_DATA_CENTRE;
+        }
+        return server.region().equals(node.region()) ? Distance.SAME_REGION : Distance.OTHER_REGION;
+    }
+
+    private static int declaredBelow(Work work) {
+        int calls = 0;
+        for (Work child : work.children()) {
+            calls += 1 + declaredBelow(child);
+        }
+        return calls;
+    }
+
+    private static UpstreamEnd end(Reply reply) {
+        if (reply.good()) {
+            return UpstreamEnd.ANSWERED;
+        }
+        if (reply.code().runState() == RunState.NOT_RUN) {
+            return UpstreamEnd.REFUSED;
+        }
+        // An error answer or cancelled long work says nothing about the server's speed.
+        return reply.code() == ResultCode.DEADLINE_PASSED_AFTER_HANDOVER ? UpstreamEnd.FAILED : UpstreamEnd.CANCELLED;
+    }
+}
--- a/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntServingPolicy.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntServingPolicy.java
@@ -51,9 +51,15 @@
 
     @Override
     public boolean cancel(InboundCall call, long now) {
-        CallEntry entry = entries.remove(call);
+        CallEntry entry = entries.get(call);
+        if (entry == null) {
+            return false;
+        }
+        // The queue may refuse this very call for its deadline first, so the maps must still have it.
+        boolean waited = queue.cancel(entry, now);
+        entries.remove(call);
         calls.remove(entry);
-        return entry != null && queue.cancel(entry, now);
+        return waited;
     }
 
     @Override
--- a/bench/src/main/java/org/plantainshunt/bench/policy/PolicySet.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PolicySet.java
@@ -30,14 +30,14 @@
 
     EntryPolicy entryPolicy(Simulation simulation, Node node) {
         if (this == PLANTAINSHUNT) {
-            throw new IllegalStateException("not there yet");
+            return new PlantainshuntEntryPolicy(simulation, node);
         }
         return new BaselineEntryPolicy(simulation, node, this == ROUND_ROBIN);
     }
 
     ServingPolicy servingPolicy(Simulation simulation, Node node) {
         return switch (this) {
-            case PLANTAINSHUNT -> throw new IllegalStateException("not there yet");
+            case PLANTAINSHUNT -> new PlantainshuntServingPolicy(node);
             case NO_CONTROL -> LimitServingPolicy.unlimited(node);
             case FIXED_LIMIT -> LimitServingPolicy.fixedLimit(node);
             case ROUND_ROBIN -> LimitServingPolicy.connectionLimit(node);
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Reply.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Reply.java
@@ -1,5 +1,7 @@
 package org.plantainshunt.bench.policy;
 
+import java.util.Optional;
+
 import org.plantainshunt.result.ResultCode;
 
 /**
@@ -11,14 +13,10 @@
  * @param good whether the answer is whole and no error
  * @param retryAfterMilliseconds when a repeat is worth while, 0 if unstated
  * @param unusedAllowance the retries of the call's share that were not used
- * @param report what the serving node says about itself
+ * @param report what the serving node says about itself, empty if the entry node itself ended the call
  */
-record Reply(ResultCode code, boolean good, long retryAfterMilliseconds, int unusedAllowance, Report report) {
+record Reply(ResultCode code, boolean good, long retryAfterMilliseconds, int unusedAllowance, Optional<Report> report) {
     static Reply refused(ResultCode code, long retryAfterMilliseconds) {
-        return new Reply(code, false, retryAfterMilliseconds, 0, Report.NOTHING);
-    }
-
-    Reply withUnusedAllowance(int unused) {
-        return new Reply(code, good, retryAfterMilliseconds, unused, report);
+        return new Reply(code, false, retryAfterMilliseconds, 0, Optional.empty());
     }
 }
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Report.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Report.java
@@ -12,6 +12,4 @@
  * @param queued the calls that wait at the node
  * @param levels the admission levels of the services deeper in the chain, by service
  */
-record Report(int level, int inFlight, int queued, Map<String, Integer> levels) {
-    static final Report NOTHING = new Report(512, 0, 0, Map.of());
-}
+record Report(int level, int inFlight, int queued, Map<String, Integer> levels) {}
