Take a deeper service that a report leaves out as admitting all

Cause: DownstreamLevels.levels lists only levels below 512. An entry node that notes only the listed ones never hears that a deeper service has recovered and keeps the low level for 1 s and then up to 2 s more, and it takes the highest level only over the nodes that still see trouble. In the trace all servers of the bottleneck admitted everything and half of them were idle while entry nodes refused 600 requests a second.

Ruled out: the level of the serving nodes; it was 512 at the time.

Change: the adapter reports 512 for each declared deeper service that is missing in a report.

--- a/bench/src/main/java/org/plantainshunt/bench/policy/CrestScenario.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/CrestScenario.java
@@ -33,10 +33,7 @@
     }
 
     private static Row row(Deployment deployment, PolicySet policies, long seed) {
-        double usual = USUAL_LOAD * deployment.capacity();
-        Conditions conditions =
-                Conditions.steady(SECONDS, MEASURED_FROM, usual).withDemand(second -> usual * swing(second));
-        Measurements measured = simulate(deployment, policies, conditions, seed);
+        Measurements measured = simulate(deployment, policies, conditions(deployment), seed);
         double important = measured.importantCompletion(RISE_FROM, PEAK_TO);
         return new Bounds(deployment, policies, "")
                 .require(important >= LEAST_SHARE, "important work completed " + percent(important))
@@ -51,6 +48,11 @@
                         retries(measured)));
     }
 
+    static Conditions conditions(Deployment deployment) {
+        double usual = USUAL_LOAD * deployment.capacity();
+        return Conditions.steady(SECONDS, MEASURED_FROM, usual).withDemand(second -> usual * swing(second));
+    }
+
     private static double swing(double second) {
         if (second < RISE_FROM || second >= PEAK_TO) {
             return 1;
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Node.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Node.java
@@ -47,6 +47,11 @@
         simulation.clock().every(TICK, this::tick);
     }
 
+    /** Returns the node's admission level, waiting calls and running calls, for traces. */
+    String state() {
+        return serving.level() + "/" + serving.queued() + "/" + server.inFlight();
+    }
+
     String name() {
         return service.name() + "-" + dataCentre;
     }
--- a/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
@@ -91,6 +91,12 @@
         return choose(call, now).server();
     }
 
+    /**
+     * Ends the attempt at the upstream and notes what the node reported.
+     *
+     * <p>A report lists only levels below 512, so a deeper service that it leaves out admits all. Without this an entry
+     * node keeps a low level for seconds after the last node that reported it has seen the service recover.
+     */
     @Override
     public void ended(OutboundCall call, Node server, Reply reply, long now) {
         Upstream upstream = upstream(server);
@@ -102,7 +108,10 @@
         call.allowance().orElseThrow().giveBack(call.attemptShare(), reply.unusedAllowance());
         upstream.reported(report.inFlight(), report.queued(), now);
         levels.report(server.name(), server.service.name(), report.level(), now);
-        report.levels().forEach((service, level) -> levels.report(server.name(), service, level, now));
+        for (String service : call.work.servicesBelow()) {
+            int level = report.levels().getOrDefault(service, DownstreamLevels.ADMITS_ALL);
+            levels.report(server.name(), service, level, now);
+        }
     }
 
     @Override
--- a/bench/src/main/java/org/plantainshunt/bench/policy/RecoveryScenario.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/RecoveryScenario.java
@@ -57,7 +57,7 @@
                         retries(measured)));
     }
 
-    private static Conditions conditions(Deployment deployment) {
+    static Conditions conditions(Deployment deployment) {
         double usual = USUAL_LOAD * deployment.capacity();
         SlowDown slowDown = (place, now) ->
                 place.service().equals(deployment.bottleneck()) && isTriggered((double) now / VirtualClock.SECOND)
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Work.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Work.java
@@ -1,6 +1,8 @@
 package org.plantainshunt.bench.policy;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.plantainshunt.configuration.Kind;
 
@@ -21,6 +23,16 @@
         children = List.copyOf(children);
     }
 
+    /** Returns the services that a request of this kind may reach through the called service. */
+    Set<String> servicesBelow() {
+        Set<String> services = new LinkedHashSet<>();
+        for (Work child : children) {
+            services.add(child.kind().service());
+            services.addAll(child.servicesBelow());
+        }
+        return services;
+    }
+
     Work withAnswerBytes(int bytes) {
         return new Work(kind, share, meanNanos, requestBytes, bytes, children);
     }
