--- a/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
@@ -23,7 +23,7 @@
     private final long[][] completed;
     private final long[][] refusals;
     private final long[] goodAt;
-    private final Map<ResultCode, Long> failures = new EnumMap<>(ResultCode.class);
+    private final Map<PriorityClass, Map<ResultCode, Long>> failures = new EnumMap<>(PriorityClass.class);
     private final Histogram latency = new Histogram(SIGNIFICANT_DIGITS);
     private final Histogram stragglerLatency = new Histogram(SIGNIFICANT_DIGITS);
     private long received;
@@ -68,7 +68,8 @@
     /** Counts a refusal or another failure that reached a caller. */
     void failed(Request request, ResultCode code, long now) {
         if (now >= measuredFrom * VirtualClock.SECOND) {
-            failures.merge(code, 1L, Long::sum);
+            failures.computeIfAbsent(request.priorityClass(), key -> new EnumMap<>(ResultCode.class))
+                    .merge(code, 1L, Long::sum);
         }
         if (code.runState() == RunState.NOT_RUN) {
             refusals[request.priorityClass().ordinal()][second(now)]++;
@@ -149,8 +150,9 @@
         return stragglerLatency.getTotalCount();
     }
 
-    Map<ResultCode, Long> failures() {
-        return Map.copyOf(failures);
+    /** Returns the failures that reached callers of a class, repeats included, by result code. */
+    Map<ResultCode, Long> failures(PriorityClass priorityClass) {
+        return Map.copyOf(failures.getOrDefault(priorityClass, Map.of()));
     }
 
     double meanRetries() {
