--- a/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Measurements.java
@@ -24,6 +24,7 @@
     private final long[][] refusals;
     private final long[] goodAt;
     private final Map<PriorityClass, Map<ResultCode, Long>> failures = new EnumMap<>(PriorityClass.class);
+    private final Map<PriorityClass, Map<ResultCode, Long>> innerFailures = new EnumMap<>(PriorityClass.class);
     private final Histogram latency = new Histogram(SIGNIFICANT_DIGITS);
     private final Histogram stragglerLatency = new Histogram(SIGNIFICANT_DIGITS);
     private long received;
@@ -67,15 +68,24 @@
 
     /** Counts a refusal or another failure that reached a caller. */
     void failed(Request request, ResultCode code, long now) {
-        if (now >= measuredFrom * VirtualClock.SECOND) {
-            failures.computeIfAbsent(request.priorityClass(), key -> new EnumMap<>(ResultCode.class))
-                    .merge(code, 1L, Long::sum);
-        }
+        count(failures, request, code, now);
         if (code.runState() == RunState.NOT_RUN) {
             refusals[request.priorityClass().ordinal()][second(now)]++;
         }
     }
 
+    /** Counts a call of a backend server that failed, so that the work done before it is wasted. */
+    void innerFailed(Request request, ResultCode code, long now) {
+        count(innerFailures, request, code, now);
+    }
+
+    private void count(Map<PriorityClass, Map<ResultCode, Long>> counts, Request request, ResultCode code, long now) {
+        if (now >= measuredFrom * VirtualClock.SECOND) {
+            counts.computeIfAbsent(request.priorityClass(), key -> new EnumMap<>(ResultCode.class))
+                    .merge(code, 1L, Long::sum);
+        }
+    }
+
     /** Counts the retries in the whole chain of one request that an entry node received. */
     void chainEnded(Request request) {
         received++;
@@ -155,6 +165,11 @@
         return Map.copyOf(failures.getOrDefault(priorityClass, Map.of()));
     }
 
+    /** Returns the failed calls of backend servers for requests of a class, by result code. */
+    Map<ResultCode, Long> innerFailures(PriorityClass priorityClass) {
+        return Map.copyOf(innerFailures.getOrDefault(priorityClass, Map.of()));
+    }
+
     double meanRetries() {
         return received == 0 ? 0 : (double) retries / received;
     }
--- a/bench/src/main/java/org/plantainshunt/bench/policy/Node.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/Node.java
@@ -159,6 +159,7 @@
         if (reply.good()) {
             proceed(inbound);
         } else {
+            simulation.measurements().innerFailed(inbound.call.request, reply.code(), now());
             finish(inbound, false);
         }
     }
