--- /dev/null
+++ b/bench/src/main/java/org/plantainshunt/bench/capacity/CapacityProbe.java
@@ -0,0 +1,142 @@
+package org.plantainshunt.bench.capacity;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+
+import org.plantainshunt.bench.fleet.Fleet;
+import org.plantainshunt.bench.fleet.FleetDocument;
+import org.plantainshunt.bench.fleet.FleetPlan;
+import org.plantainshunt.bench.fleet.FleetVm;
+
+/**
+ * Measures what a node spends on control at several sizes, over real processes.
+ *
+ * <p>Processor time, memory and bytes are read from /proc; the bytes include the local health checks. Run with
+ * {@code bin/measure-capacity}. Used by one thread.
+ */
+public final class CapacityProbe {
+    private static final Duration START = Duration.ofSeconds(60);
+    private static final int SETTLE_SECONDS = 8;
+    private static final int MEASURE_SECONDS = 20;
+    private static final int CHANGES = 30;
+    private static final long CHANGE_PAUSE_MILLISECONDS = 700;
+    private static final int MILLISECONDS_PER_TICK = 10;
+    private static final int USER_TIME = 13;
+    private static final int SYSTEM_TIME = 14;
+
+    private CapacityProbe() {}
+
+    /** Runs all measurements, about six minutes. */
+    public static void main(String[] arguments) throws Exception {
+        System.out.println("# size of the VM list, two real nodes: idle");
+        listSizes(List.of(2, 100, 400, 800, 1600));
+        System.out.println("# number of real nodes: idle, then with changes of a configuration of 64 services");
+        for (int vms : List.of(2, 4, 8, 16)) {
+            fleetSize(vms);
+        }
+    }
+
+    private static void listSizes(List<Integer> sizes) throws Exception {
+        try (Fleet fleet = start(1)) {
+            long revision = 1000;
+            for (int size : sizes) {
+                publishList(fleet, revision++, size);
+                Thread.sleep(SETTLE_SECONDS * 1000L);
+                Usage before = Usage.of(fleet.vms().get(0));
+                Thread.sleep(MEASURE_SECONDS * 1000L);
+                report("list " + size, before, Usage.of(fleet.vms().get(0)), MEASURE_SECONDS);
+            }
+        }
+    }
+
+    private static void fleetSize(int vmsPerService) throws Exception {
+        try (Fleet fleet = start(vmsPerService)) {
+            fleet.platform().publish(DesignDocument.document(2, DesignDocument.SERVICES));
+            Thread.sleep(SETTLE_SECONDS * 1000L);
+            String name = "nodes " + fleet.vms().size();
+            Usage before = Usage.of(fleet.vms().get(0));
+            String reads = fleet.platform().counts();
+            Thread.sleep(MEASURE_SECONDS * 1000L);
+            Usage idle = Usage.of(fleet.vms().get(0));
+            report(name + " idle", before, idle, MEASURE_SECONDS);
+            System.out.println("  reads before " + reads + "\n  reads after  "
+                    + fleet.platform().counts());
+            for (int change = 0; change < CHANGES; change++) {
+                fleet.platform().publish(DesignDocument.document(3 + change, DesignDocument.SERVICES));
+                Thread.sleep(CHANGE_PAUSE_MILLISECONDS);
+            }
+            Usage changed = Usage.of(fleet.vms().get(0));
+            double seconds = CHANGES * CHANGE_PAUSE_MILLISECONDS / 1000.0;
+            report(name + " with " + CHANGES + " changes", idle, changed, seconds);
+        }
+    }
+
+    private static Fleet start(int vmsPerService) throws Exception {
+        FleetDocument document = FleetDocument.read(DesignDocument.document(1, 2));
+        FleetPlan plan = FleetPlan.small(document).withVmsPerService(vmsPerService);
+        Fleet fleet = Fleet.start(plan, Files.createTempDirectory("capacity"));
+        fleet.awaitReady(START);
+        return fleet;
+    }
+
+    private static void publishList(Fleet fleet, long revision, int size) throws IOException, InterruptedException {
+        StringBuilder text = new StringBuilder("[vm-list]\nrevision = " + revision + "\n");
+        for (FleetVm vm : fleet.vms()) {
+            text.append("\n[vm ").append(vm.name()).append("]\nservice = ").append(vm.service());
+            text.append("\ndata-centre = ").append(vm.dataCentre());
+            text.append("\naddress = ").append(vm.innerAddress().host());
+            text.append("\ninner-port = ").append(vm.innerAddress().port()).append("\nstate = live\n");
+        }
+        for (int number = fleet.vms().size(); number < size; number++) {
+            text.append(DesignDocument.silentVm(number));
+        }
+        URI uri = URI.create("http://" + fleet.platform().endpoint() + "/control/vm-list");
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .PUT(HttpRequest.BodyPublishers.ofString(text.toString()))
+                .build();
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
+    }
+
+    private static void report(String name, Usage before, Usage after, double seconds) {
+        System.out.println(String.format(
+                Locale.ROOT,
+                "%-28s cpu %5.2f %% of a core, resident %6.1f MB, in %8.0f B/s, out %8.0f B/s",
+                name,
+                (after.processorMilliseconds - before.processorMilliseconds) / seconds / 10,
+                after.residentBytes / 1e6,
+                (after.readBytes - before.readBytes) / seconds,
+                (after.writtenBytes - before.writtenBytes) / seconds));
+    }
+
+    /** What a process has used up to one moment. */
+    private record Usage(long processorMilliseconds, long residentBytes, long readBytes, long writtenBytes) {
+        static Usage of(FleetVm vm) throws IOException {
+            Path process = Path.of("/proc", Long.toString(vm.nodePid()));
+            String stat = Files.readString(process.resolve("stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            long ticks = Long.parseLong(fields[USER_TIME - 2]) + Long.parseLong(fields[SYSTEM_TIME - 2]);
+            return new Usage(
+                    ticks * MILLISECONDS_PER_TICK,
+                    1024 * value(process.resolve("status"), "VmRSS:"),
+                    value(process.resolve("io"), "rchar:"),
+                    value(process.resolve("io"), "wchar:"));
+        }
+
+        private static long value(Path file, String key) throws IOException {
+            for (String line : Files.readAllLines(file)) {
+                if (line.startsWith(key)) {
+                    return Long.parseLong(line.substring(key.length()).trim().split(" ")[0]);
+                }
+            }
+            throw new IOException(file + " has no " + key);
+        }
+    }
+}
