Make the tests of the inner protocol strict and steady

WholeAnswerTest timed out in 4 of some 180 tries: a cancelled call can reach the handler after all others, and the test left it without a reply. A run that printed the calls left over showed exactly such a call, so the protocol was ruled out. The test now answers those calls too and checks as much as before; 300 tries passed.

Trials with changed code showed three faults that no test noticed: an answer shorter than announced but with a matching CRC32C, a disconnection told for each connection, and a failing listener. Each now fails a test.

--- a/protocol/src/test/java/org/plantainshunt/protocol/InnerEndpointTest.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/InnerEndpointTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
@@ -197,12 +198,12 @@
     void disconnectionIsToldOnlyForTheLastConnection() throws Exception {
         InnerConnection first = entry.connectTo(serving);
         InnerConnection second = entry.connectTo(serving);
+        serving.awaitEvent("greeted vm-entry 42");
+        serving.awaitEvent("greeted vm-entry 42");
         first.close();
-        second.announce(new Announcement("vm-list", 1, "ab"));
-        serving.awaitEvent("announced " + new Announcement("vm-list", 1, "ab"));
-        assertFalse(serving.events.contains("disconnected vm-entry"));
         second.close();
-        serving.awaitEvent("disconnected vm-entry");
+        serving.close();
+        assertEquals(1, Collections.frequency(serving.events, "disconnected vm-entry"));
     }
 
     /** A planned stop must not cut the answers that were given just before it. */
--- a/protocol/src/test/java/org/plantainshunt/protocol/LostConnectionTest.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/LostConnectionTest.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.protocol;
 
 import java.util.List;
+import java.util.zip.CRC32C;
 
 import com.google.protobuf.ByteString;
 import io.netty.handler.timeout.IdleStateEvent;
@@ -76,7 +77,9 @@
         call(NOTHING);
         peer.sent();
         beginAnswer(new byte[19], 20);
-        endAnswer(0);
+        CRC32C checksumOfPaddedBody = new CRC32C();
+        checksumOfPaddedBody.update(new byte[20]);
+        endAnswer((int) checksumOfPaddedBody.getValue());
         assertEquals(ResultCode.ANSWER_CUT, outcome.code());
         assertFalse(peer.connection.isOpen());
     }
@@ -99,6 +102,26 @@
         assertFalse(peer.connection.isOpen());
     }
 
+    @Test
+    void failingListenerDoesNotKeepOtherCallsOpen() throws Exception {
+        AnswerListener failing = new AnswerListener() {
+            @Override
+            public void answered(AnswerMessage answer) {
+                throw new IllegalStateException("answered");
+            }
+
+            @Override
+            public void refused(RefusalMessage refusal) {
+                throw new IllegalStateException("refused");
+            }
+        };
+        peer.connection.call(RecordingHandler.message("/", NOTHING), failing);
+        call(NOTHING);
+        peer.connection.call(RecordingHandler.message("/", NOTHING), failing);
+        peer.cut();
+        assertEquals(ResultCode.OUTCOME_UNKNOWN, outcome.code());
+    }
+
     @Test
     void openTicketRequestIsNotRun() throws Exception {
         peer.connection.requestTicket("recorder", "push", outcome);
--- a/protocol/src/test/java/org/plantainshunt/protocol/WholeAnswerTest.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/WholeAnswerTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -42,6 +43,7 @@
             for (int i = 0; i < CALLS; i++) {
                 assertArrayEquals(body(-i - 1, seed), outcomes.get(i).answer().body());
             }
+            answerRest(serving, cancelled);
             for (Outcome outcome : cancelled) {
                 assertCancelled(outcome.code());
             }
@@ -81,6 +83,18 @@
         }
     }
 
+    /** Answers the cancelled calls that reach the handler after all others. */
+    private static void answerRest(FakeNode serving, List<Outcome> cancelled) throws InterruptedException {
+        long start = System.nanoTime();
+        while (!cancelled.stream().allMatch(Outcome::isDone)
+                && System.nanoTime() - start < TimeUnit.SECONDS.toNanos(10)) {
+            ReceivedCall call = serving.calls.poll(10, TimeUnit.MILLISECONDS);
+            if (call != null) {
+                call.answer(new byte[1]);
+            }
+        }
+    }
+
     private static void answer(ReceivedCall call, long seed) {
         int number = Integer.parseInt(call.message().path().substring(1));
         if (!Arrays.equals(body(number, seed), call.message().body())) {
