Judge retries by delivered repeats; add links between data centres to fleets

The retry bound was only shown as an average, which hides one request that multiplies. Repeated deliveries of one attempt are now counted over its whole chain of calls.

--- a/bench/src/main/java/org/plantainshunt/bench/QuickstartRun.java
+++ b/bench/src/main/java/org/plantainshunt/bench/QuickstartRun.java
@@ -137,7 +137,9 @@
     }
 
     private boolean judge(Fleet fleet) throws IOException {
-        InvariantJudge judge = new InvariantJudge((server, kind) -> atMostOnce(fleet, server, kind));
+        InvariantJudge judge = new InvariantJudge(
+                (server, kind) -> atMostOnce(fleet, server, kind),
+                plan.document().retriesPerRequest());
         var requests = fleet.records();
         List<InvariantJudge.Violation> violations = judge.judge(attempts, requests);
         out.printf(
@@ -173,7 +175,8 @@
         out.println(
                 seconds.isPresent()
                         ? "recovery time: " + seconds.getAsInt() + " s after the end of the overload"
-                        : "recovery time: not recovered within " + (END - TRIGGER_END) + " s");
+                        : "recovery time: none; goodput did not come back within " + (END - TRIGGER_END)
+                                + " s, or was poor before the overload already");
     }
 
     private static void sleepUntil(long start, int second) throws InterruptedException {
--- a/bench/src/main/java/org/plantainshunt/bench/QuickstartTable.java
+++ b/bench/src/main/java/org/plantainshunt/bench/QuickstartTable.java
@@ -33,10 +33,11 @@
         for (LoadResult.Counts counts : result.byClass()) {
             printCodes(counts.name() + " not run", counts.notRunCodes(), out);
             printCodes(counts.name() + " unknown", counts.unknownCodes(), out);
+            printCodes(counts.name() + " failed calls", counts.failedCalls(), out);
         }
     }
 
-    private static void printCodes(String what, Map<Integer, Long> codes, PrintStream out) {
+    private static void printCodes(String what, Map<?, Long> codes, PrintStream out) {
         if (!codes.isEmpty()) {
             out.println("  " + what + " by result code: " + codes);
         }
--- a/bench/src/main/java/org/plantainshunt/bench/RecoveryTime.java
+++ b/bench/src/main/java/org/plantainshunt/bench/RecoveryTime.java
@@ -13,6 +13,9 @@
     /** Answers of works due in the last moments of a second come in the next one, hence the wide tolerance. */
     private static final double TOLERANCE = 0.15;
 
+    /** Below this share of the demand the time before the trigger is no measure. */
+    private static final double LEAST_BEFORE = 0.8;
+
     private RecoveryTime() {}
 
     /**
@@ -23,11 +26,14 @@
      * @param triggerStart the second in which the trigger began
      * @param triggerEnd the second in which it ended
      * @param end the second in which the load ended
-     * @return the seconds, or nothing if goodput did not recover
+     * @return the seconds, or nothing if goodput did not recover or was poor before the trigger already
      */
     static OptionalInt seconds(
             Map<Integer, Long> offered, Map<Integer, Long> whole, int triggerStart, int triggerEnd, int end) {
         double before = sum(whole, 0, triggerStart) / Math.max(1, sum(offered, 0, triggerStart));
+        if (before < LEAST_BEFORE) {
+            return OptionalInt.empty();
+        }
         int second = end;
         while (second > triggerEnd
                 && sum(whole, second - 1, second) >= (before - TOLERANCE) * sum(offered, second - 1, second)) {
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetPlan.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetPlan.java
@@ -17,6 +17,7 @@
  * @param vmsPerService VMs for each service
  * @param addressBlock second number of all addresses, 1 to 254; addresses are 127.BLOCK.DATA-CENTRE.VM
  * @param withNodes whether nodes are started beside the backend servers
+ * @param relayed whether the inner connections go through a relay that can break them
  * @param meanMilliseconds mean service times in milliseconds by SERVICE/KIND, in place of the default
  * @param backendServerOptions further options of each backend server stand-in
  */
@@ -26,6 +27,7 @@
         int vmsPerService,
         int addressBlock,
         boolean withNodes,
+        boolean relayed,
         Map<String, Double> meanMilliseconds,
         List<String> backendServerOptions) {
     private static final int LARGEST_BLOCK = 254;
@@ -51,7 +53,8 @@
      * @param document the configuration document
      */
     public static FleetPlan small(FleetDocument document) {
-        return new FleetPlan(document, firstOfEachRegion(document), 2, blockOfThisProcess(), true, Map.of(), List.of());
+        return new FleetPlan(
+                document, firstOfEachRegion(document), 2, blockOfThisProcess(), true, false, Map.of(), List.of());
     }
 
     /**
@@ -61,7 +64,31 @@
      */
     public FleetPlan withNodes(boolean nodes) {
         return new FleetPlan(
-                document, dataCentres, vmsPerService, addressBlock, nodes, meanMilliseconds, backendServerOptions);
+                document,
+                dataCentres,
+                vmsPerService,
+                addressBlock,
+                nodes,
+                relayed,
+                meanMilliseconds,
+                backendServerOptions);
+    }
+
+    /**
+     * Returns the same plan with a relay between the nodes.
+     *
+     * @param relay whether the inner connections go through a relay
+     */
+    public FleetPlan withRelay(boolean relay) {
+        return new FleetPlan(
+                document,
+                dataCentres,
+                vmsPerService,
+                addressBlock,
+                withNodes,
+                relay,
+                meanMilliseconds,
+                backendServerOptions);
     }
 
     /**
@@ -71,7 +98,7 @@
      */
     public FleetPlan withVmsPerService(int vms) {
         return new FleetPlan(
-                document, dataCentres, vms, addressBlock, withNodes, meanMilliseconds, backendServerOptions);
+                document, dataCentres, vms, addressBlock, withNodes, relayed, meanMilliseconds, backendServerOptions);
     }
 
     /**
@@ -81,7 +108,7 @@
      */
     public FleetPlan withMeanMilliseconds(Map<String, Double> means) {
         return new FleetPlan(
-                document, dataCentres, vmsPerService, addressBlock, withNodes, means, backendServerOptions);
+                document, dataCentres, vmsPerService, addressBlock, withNodes, relayed, means, backendServerOptions);
     }
 
     /**
@@ -90,7 +117,8 @@
      * @param options options as on its command line
      */
     public FleetPlan withBackendServerOptions(List<String> options) {
-        return new FleetPlan(document, dataCentres, vmsPerService, addressBlock, withNodes, meanMilliseconds, options);
+        return new FleetPlan(
+                document, dataCentres, vmsPerService, addressBlock, withNodes, relayed, meanMilliseconds, options);
     }
 
     /**
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetVm.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetVm.java
@@ -24,16 +24,18 @@
     private final String service;
     private final DataCentre dataCentre;
     private final String address;
+    private final Endpoint published;
     private Optional<ChildProcess> backendServer = Optional.empty();
     private Optional<ChildProcess> node = Optional.empty();
     private boolean leaving;
 
-    FleetVm(Fleet fleet, String name, String service, DataCentre dataCentre, String address) {
+    FleetVm(Fleet fleet, String name, String service, DataCentre dataCentre, String address, String relay) {
         this.fleet = fleet;
         this.name = name;
         this.service = service;
         this.dataCentre = dataCentre;
         this.address = address;
+        this.published = new Endpoint(relay, INNER_PORT);
     }
 
     /** Returns the name of the VM, which is also the name of its node and of its backend server. */
@@ -71,6 +73,11 @@
         return new Endpoint(address, INNER_PORT);
     }
 
+    /** Returns where the VM list says that other nodes connect: the relay, if the plan has one. */
+    public Endpoint publishedAddress() {
+        return published;
+    }
+
     /** Returns the admin endpoint of the node. */
     public Endpoint adminAddress() {
         return new Endpoint(address, ADMIN_PORT);
--- a/standins/src/main/java/org/plantainshunt/standins/KindTally.java
+++ b/standins/src/main/java/org/plantainshunt/standins/KindTally.java
@@ -22,6 +22,7 @@
     private final Map<WorkOutcome, Long> outcomes = new EnumMap<>(WorkOutcome.class);
     private final Map<Integer, Long> notRunCodes = new TreeMap<>();
     private final Map<Integer, Long> unknownCodes = new TreeMap<>();
+    private final Map<String, Long> failedCalls = new TreeMap<>();
     private final Histogram latencies = new Histogram(LARGEST_LATENCY_MICROSECONDS, SIGNIFICANT_DIGITS);
     private final TreeMap<Integer, Long> wholeBySecond = new TreeMap<>();
     private final TreeMap<Integer, Long> offeredBySecond = new TreeMap<>();
@@ -60,6 +61,7 @@
             case LATE -> latencies.recordValue(Math.min(end.latencyMicroseconds(), LARGEST_LATENCY_MICROSECONDS));
             case NOT_RUN -> notRunCodes.merge(end.result(), 1L, Long::sum);
             case UNKNOWN -> unknownCodes.merge(end.result(), 1L, Long::sum);
+            case FAILED -> failedCalls.merge(end.failedCall(), 1L, Long::sum);
             default -> {}
         }
     }
@@ -74,6 +76,7 @@
         other.outcomes.forEach((outcome, count) -> outcomes.merge(outcome, count, Long::sum));
         other.notRunCodes.forEach((code, count) -> notRunCodes.merge(code, count, Long::sum));
         other.unknownCodes.forEach((code, count) -> unknownCodes.merge(code, count, Long::sum));
+        other.failedCalls.forEach((call, count) -> failedCalls.merge(call, count, Long::sum));
         other.wholeBySecond.forEach((second, count) -> wholeBySecond.merge(second, count, Long::sum));
         other.offeredBySecond.forEach((second, count) -> offeredBySecond.merge(second, count, Long::sum));
         latencies.add(other.latencies);
@@ -96,6 +99,7 @@
                 new EnumMap<>(outcomes),
                 new TreeMap<>(notRunCodes),
                 new TreeMap<>(unknownCodes),
+                new TreeMap<>(failedCalls),
                 attempts,
                 ticketRounds,
                 mostAttempts,
@@ -115,11 +119,18 @@
      *
      * @param outcome how it ended
      * @param result the result code of the last answer; 0 if there was none
+     * @param failedCall the call of the backend server that failed, or the status of the answer
      * @param attempts how often it was tried
      * @param ticketRounds how often a ticket was asked for
      * @param latencyMicroseconds from the time it was due to its end
      * @param second when it ended, counted from the start of the load
      */
     record WorkEnd(
-            WorkOutcome outcome, int result, int attempts, int ticketRounds, long latencyMicroseconds, int second) {}
+            WorkOutcome outcome,
+            int result,
+            String failedCall,
+            int attempts,
+            int ticketRounds,
+            long latencyMicroseconds,
+            int second) {}
 }
--- a/standins/src/main/java/org/plantainshunt/standins/LoadResult.java
+++ b/standins/src/main/java/org/plantainshunt/standins/LoadResult.java
@@ -80,6 +80,7 @@
      * @param outcomes works by outcome
      * @param notRunCodes works that did not run, by the last result code; 0 stands for a failed connection
      * @param unknownCodes works with an unknown outcome, by the last result code; 0 stands for no answer
+     * @param failedCalls works that failed, by the call of the backend server that failed and its result code
      * @param attempts attempts in total
      * @param ticketRounds answers that only asked for a ticket
      * @param mostAttempts the most attempts for one work
@@ -97,6 +98,7 @@
             Map<WorkOutcome, Long> outcomes,
             Map<Integer, Long> notRunCodes,
             Map<Integer, Long> unknownCodes,
+            Map<String, Long> failedCalls,
             long attempts,
             long ticketRounds,
             int mostAttempts,
--- a/standins/src/main/java/org/plantainshunt/standins/NodeAnswer.java
+++ b/standins/src/main/java/org/plantainshunt/standins/NodeAnswer.java
@@ -17,6 +17,7 @@
  * @param runState whether the request ran, as far as the answer says
  * @param ticket the ticket of the answer
  * @param retryAfterMilliseconds how long the caller is asked to wait before a repeat; 0 if it is not asked
+ * @param failedCall the call of the backend server that made it fail, with the result code of that call
  * @param fault why the body is not a whole answer to this request; nothing if it is
  */
 record NodeAnswer(
@@ -25,6 +26,7 @@
         RunState runState,
         Optional<String> ticket,
         long retryAfterMilliseconds,
+        Optional<String> failedCall,
         Optional<String> fault) {
     private static final int STATUS_OK = 200;
     private static final long MILLISECONDS_PER_SECOND = 1_000;
@@ -42,6 +44,7 @@
                 runState,
                 Optional.ofNullable(response.getHeaders().get(HeaderNames.TICKET)),
                 number(response.getHeaders().get(HeaderNames.RETRY_AFTER)) * MILLISECONDS_PER_SECOND,
+                Optional.ofNullable(response.getHeaders().get(HeaderNames.FAILED_CALL)),
                 status == STATUS_OK
                         ? AnswerBody.fault(response.getBody().getBytes(), workId)
                         : Optional.of("status " + status));
@@ -50,7 +53,7 @@
     /** Describes an attempt to which no answer came: it did not run only if no connection was made. */
     static NodeAnswer of(Throwable failure) {
         RunState runState = failure instanceof ConnectException ? RunState.NOT_RUN : RunState.UNKNOWN;
-        return new NodeAnswer(0, 0, runState, Optional.empty(), 0, Optional.of(failure.toString()));
+        return new NodeAnswer(0, 0, runState, Optional.empty(), 0, Optional.empty(), Optional.of(failure.toString()));
     }
 
     boolean whole() {
--- a/standins/src/main/java/org/plantainshunt/standins/Relay.java
+++ b/standins/src/main/java/org/plantainshunt/standins/Relay.java
@@ -99,7 +99,7 @@
     private void accept(Channel accepted, Endpoint target) {
         String source =
                 ((InetSocketAddress) accepted.remoteAddress()).getAddress().getHostAddress();
-        Ends ends = new Ends(source, target.toString());
+        Ends ends = new Ends(source + ":", target.toString());
         RelayRule.Mode mode = rules.find(ends.source(), ends.target()).rule().mode();
         if (mode == RelayRule.Mode.CUT || mode == RelayRule.Mode.REFUSE) {
             RelayConnection.reset(accepted);
--- a/standins/src/main/java/org/plantainshunt/standins/RelayRule.java
+++ b/standins/src/main/java/org/plantainshunt/standins/RelayRule.java
@@ -5,7 +5,8 @@
  *
  * <p>Immutable and safe for use by any thread.
  *
- * @param from prefix of the addresses that connect, for example {@code 127.5.1.}; an empty text matches all
+ * @param from prefix of the addresses that connect, written with a colon at their end; {@code 127.5.1.} matches a data
+ *     centre of a fleet, {@code 127.5.1.1:} a single address, and an empty text all
  * @param to prefix of the targets as IP:PORT; an empty text matches all
  * @param mode what happens to connections and bytes
  * @param latencyMilliseconds added to the way of each byte, each way
