--- a/bench/src/main/java/org/plantainshunt/bench/QuickstartTable.java
+++ b/bench/src/main/java/org/plantainshunt/bench/QuickstartTable.java
@@ -31,15 +31,15 @@
                     "%.2f".formatted(counts.retriesPerRequest()));
         }
         for (LoadResult.Counts counts : result.byClass()) {
-            printCodes(counts.name() + " not run", counts.notRunCodes(), out);
-            printCodes(counts.name() + " unknown", counts.unknownCodes(), out);
-            printCodes(counts.name() + " failed calls", counts.failedCalls(), out);
+            printCodes(counts.name() + " not run by result code", counts.notRunCodes(), out);
+            printCodes(counts.name() + " unknown by result code", counts.unknownCodes(), out);
+            printCodes(counts.name() + " failed by call and its result code", counts.failedCalls(), out);
         }
     }
 
     private static void printCodes(String what, Map<?, Long> codes, PrintStream out) {
         if (!codes.isEmpty()) {
-            out.println("  " + what + " by result code: " + codes);
+            out.println("  " + what + ": " + codes);
         }
     }
 }
