Share the bandwidth of a link between both directions of setup

Each pair of data centres had two bandwidths, one for the connections opened from each side, so a link of 30 Mbit/s passed up to 60. Rules of opposite scopes now use one link. Halving each bandwidth was ruled out, because then one side alone could not fill the link.

--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetLinks.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetLinks.java
@@ -53,8 +53,7 @@
     }
 
     /**
-     * Bounds the bandwidth between two data centres. Connections opened by one side share it each way, and those opened
-     * by the other side share as much again.
+     * Bounds the bandwidth between two data centres, each way, for all connections between them together.
      *
      * @param one the name of a data centre of the plan
      * @param other the name of another
--- a/standins/src/main/java/org/plantainshunt/standins/RelayRule.java
+++ b/standins/src/main/java/org/plantainshunt/standins/RelayRule.java
@@ -10,7 +10,7 @@
  * @param to prefix of the targets as IP:PORT; an empty text matches all
  * @param mode what happens to connections and bytes
  * @param latencyMilliseconds added to the way of each byte, each way
- * @param bitsPerSecond bandwidth each way, shared by all connections under the rule; 0 sets no bound
+ * @param bitsPerSecond bandwidth each way, shared with the rule of the opposite scope; 0 sets no bound
  */
 record RelayRule(String from, String to, Mode mode, long latencyMilliseconds, long bitsPerSecond) {
     /** What happens to connections and bytes. */
--- a/standins/src/main/java/org/plantainshunt/standins/RelayRules.java
+++ b/standins/src/main/java/org/plantainshunt/standins/RelayRules.java
@@ -1,7 +1,10 @@
 package org.plantainshunt.standins;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
 /**
@@ -13,9 +16,10 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final List<Shared> rules = new ArrayList<>();
+    private final Map<String, Link> links = new HashMap<>();
 
     RelayRules() {
-        rules.add(new Shared(RelayRule.forward("", "")));
+        rules.add(shared(RelayRule.forward("", "")));
     }
 
     /** Returns the rule for a connection. */
@@ -34,26 +38,36 @@
         for (int index = 0; index < rules.size(); index++) {
             RelayRule rule = rules.get(index).rule();
             if (rule.sameScope(scope)) {
-                rules.set(index, new Shared(change.apply(rule)));
+                rules.set(index, shared(change.apply(rule)));
                 return;
             }
         }
-        rules.add(new Shared(change.apply(scope)));
+        rules.add(shared(change.apply(scope)));
+    }
+
+    /** Rules of opposite scopes use one link: bytes of requests one way and of answers the other way share it. */
+    private Shared shared(RelayRule rule) {
+        boolean turned = rule.from().compareTo(rule.to()) > 0;
+        String link = turned ? rule.to() + " " + rule.from() : rule.from() + " " + rule.to();
+        return new Shared(rule, links.computeIfAbsent(link, name -> new Link()), turned);
     }
 
     /** Drops all rules. */
     synchronized void heal() {
         rules.clear();
-        rules.add(new Shared(RelayRule.forward("", "")));
+        rules.add(shared(RelayRule.forward("", "")));
     }
 
-    /** A rule with the use of its bandwidth in each direction. */
+    /** A rule and the link that its connections use. */
     static final class Shared {
         private final RelayRule rule;
-        private final long[] freeAt = new long[2];
+        private final Link link;
+        private final boolean turned;
 
-        Shared(RelayRule rule) {
+        Shared(RelayRule rule, Link link, boolean turned) {
             this.rule = rule;
+            this.link = link;
+            this.turned = turned;
         }
 
         RelayRule rule() {
@@ -61,15 +75,28 @@
         }
 
         /** Returns when bytes that come now may leave; both times are nanoseconds of the monotonic clock. */
-        synchronized long leaveAt(boolean towardsTarget, int bytes, long now) {
-            long latency = rule.latencyMilliseconds() * 1_000_000;
+        long leaveAt(boolean towardsTarget, int bytes, long now) {
+            long latency = TimeUnit.MILLISECONDS.toNanos(rule.latencyMilliseconds());
             if (rule.bitsPerSecond() == 0) {
                 return now + latency;
             }
-            int direction = towardsTarget ? 1 : 0;
-            long begin = freeAt[direction] == 0 ? now : Math.max(now, freeAt[direction]);
-            freeAt[direction] = begin + (long) (bytes * Byte.SIZE * NANOS_PER_SECOND / rule.bitsPerSecond());
-            return freeAt[direction] + latency;
+            long duration = (long) (bytes * Byte.SIZE * NANOS_PER_SECOND / rule.bitsPerSecond());
+            return link.take(towardsTarget != turned, duration, now) + latency;
+        }
+    }
+
+    /** The use of a link of bounded bandwidth, each way on its own. */
+    private static final class Link {
+        private final long[] freeAt = new long[2];
+        private final boolean[] used = new boolean[2];
+
+        /** Occupies the link for a duration in nanoseconds and returns when that ends. */
+        synchronized long take(boolean forward, long duration, long now) {
+            int way = forward ? 1 : 0;
+            long begin = used[way] ? Math.max(now, freeAt[way]) : now;
+            used[way] = true;
+            freeAt[way] = begin + duration;
+            return freeAt[way];
         }
     }
 }
--- a/standins/src/test/java/org/plantainshunt/standins/RelayTest.java
+++ b/standins/src/test/java/org/plantainshunt/standins/RelayTest.java
@@ -85,6 +85,19 @@
         }
     }
 
+    /** Guards against a narrow link that gives each direction of setup a bandwidth of its own. */
+    @Test
+    void sharesTheBandwidthOfOppositeRules() {
+        RelayRules rules = new RelayRules();
+        rules.change("127.0.1.", "127.0.2.", rule -> rule.withBandwidth(8_000));
+        rules.change("127.0.2.", "127.0.1.", rule -> rule.withBandwidth(8_000));
+        RelayRules.Shared there = rules.find("127.0.1.1:", "127.0.2.1:7003");
+        RelayRules.Shared back = rules.find("127.0.2.1:", "127.0.1.1:7003");
+        assertEquals(1_000_000_000, there.leaveAt(true, 1_000, 0));
+        assertEquals(2_000_000_000, back.leaveAt(false, 1_000, 0));
+        assertEquals(1_000_000_000, back.leaveAt(true, 1_000, 0));
+    }
+
     private Socket connect(String from) throws IOException {
         Socket socket = new Socket(entrance.host(), entrance.port(), InetAddress.getByName(from), 0);
         socket.setSoTimeout(TIMEOUT_MILLISECONDS);
