--- a/core/src/main/java/org/plantainshunt/configuration/VmList.java
+++ b/core/src/main/java/org/plantainshunt/configuration/VmList.java
@@ -127,20 +127,29 @@
             section.getKeys().forEachRemaining(key -> {
                 if (!known.contains(key)) {
                     errors.add("[" + heading + "]: unknown key " + key);
-                } else if (section.getList(key).size() > 1) {
+                } else if (section.getProperty(key) instanceof Collection) {
                     errors.add("[" + heading + "]: " + key + " is stated more than once");
                 }
             });
         }
 
         private String text(String heading, SubnodeConfiguration section, String key) {
-            String value = section.getString(key, "").trim();
+            String value = raw(section, key).trim();
             if (value.isEmpty()) {
                 errors.add("[" + heading + "]: " + key + " is missing");
             }
             return value;
         }
 
+        /** Returns the first value as it is written; getString would substitute ${...} from the environment. */
+        private static String raw(SubnodeConfiguration section, String key) {
+            Object value = section.getProperty(key);
+            if (value instanceof Collection<?> values) {
+                value = values.iterator().next();
+            }
+            return value == null ? "" : value.toString();
+        }
+
         private String word(String heading, SubnodeConfiguration section, String key) {
             String value = text(heading, section, key);
             if (!value.isEmpty() && !NAME.matcher(value).matches()) {
--- /dev/null
+++ b/core/src/test/java/org/plantainshunt/configuration/VmListTest.java
@@ -0,0 +1,71 @@
+package org.plantainshunt.configuration;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a VM list that is half right being applied, and against errors that don't say what is wrong. */
+class VmListTest {
+    private static final String VM =
+            "[vm a-1]\nservice=a\ndata-centre=erie-1\naddress=10.0.0.1\ninner-port=7001\nstate=live\n";
+
+    @Test
+    void readsRevisionAndVms() throws InvalidVmListException {
+        VmList list = VmList.parse("[vm-list]\nrevision = 7\n" + VM);
+        assertEquals(7, list.revision());
+        assertEquals(List.of(new Vm("a-1", "a", "erie-1", "10.0.0.1", 7001, false)), list.vms());
+    }
+
+    @Test
+    void reportsAllErrorsAtOnce() {
+        List<String> errors = errors("[vm-list]\nrevision = x\n[other]\nk = 1\n"
+                + VM
+                + VM.replace("a-1", "a-2")
+                + VM.replace("a-1", "a-3")
+                        .replace("10.0.0.1", "host")
+                        .replace("7001", "70000")
+                        .replace("live", "gone")
+                + "[vm a-4]\nsize = 3\n");
+        assertEquals(
+                List.of(
+                        "[vm-list]: revision \"x\" is not a number from 0 to 9223372036854775807",
+                        "[other]: unknown section",
+                        "[vm a-2]: 10.0.0.1 port 7001 is already that of a-1",
+                        "[vm a-3]: address \"host\" is not an IP address",
+                        "[vm a-3]: inner-port \"70000\" is not a number from 1 to 65535",
+                        "[vm a-3]: state \"gone\" is neither live nor leaving",
+                        "[vm a-4]: unknown key size",
+                        "[vm a-4]: service is missing",
+                        "[vm a-4]: data-centre is missing",
+                        "[vm a-4]: address is missing",
+                        "[vm a-4]: inner-port is missing",
+                        "[vm a-4]: state is missing"),
+                errors);
+    }
+
+    @Test
+    void refusesMissingHeadStrayKeysAndRepeatedKeys() {
+        assertEquals(List.of("section [vm-list] is missing"), errors(VM));
+        assertTrue(errors("revision = 1\n").contains("there are keys before the first section"));
+        assertEquals(
+                List.of("[vm-list]: revision is stated more than once"),
+                errors("[vm-list]\nrevision = 1\nrevision = 2\n"));
+        assertTrue(errors("[vm-list]\nrevision = 1\n" + VM + VM).toString().contains("more than once"));
+    }
+
+    /** A list that reads the environment would differ from node to node. */
+    @Test
+    void substitutesNothing() {
+        String text = "[vm-list]\nrevision = 1\n" + VM.replace("erie-1", "${sys:user.name}");
+        assertEquals(List.of("[vm a-1]: data-centre \"${sys:user.name}\" is not a name"), errors(text));
+    }
+
+    private static List<String> errors(String text) {
+        return assertThrows(InvalidVmListException.class, () -> VmList.parse(text))
+                .errors();
+    }
+}
