Keep one retry budget per class at an entry node

Cause: in the crest 3 % of the important work failed because one server of the bottleneck had refused it and the entry node's retry budget was spent. The trace shows final refusals with allowance left and budget spent: retries of shed classes had used it up.

Ruled out: a larger budget; it would multiply the load of the classes that are shed.

Change: the adapter keeps a RetryBudget per class. The sum still stays within the ratio, because each is a share of its own first attempts.

--- a/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.bench.policy;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 
 import org.plantainshunt.configuration.DataCentre;
 import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.configuration.PriorityClass;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.ResultCode;
@@ -36,7 +38,12 @@
     private final Node node;
     private final BackendServerChoice choice;
     private final DownstreamLevels levels;
-    private final RetryBudget budget;
+    /**
+     * One budget per class. With one for all, the many retries of shed classes used it up, and important calls that
+     * one server refused were not tried at another.
+     */
+    private final Map<PriorityClass, RetryBudget> budgets = new EnumMap<>(PriorityClass.class);
+
     private final LinkBudget link;
     private final Map<String, List<Upstream>> upstreams = new HashMap<>();
     private final Map<String, Node> nodes = new HashMap<>();
@@ -50,7 +57,11 @@
         this.node = node;
         choice = new BackendServerChoice(simulation.newRandom());
         levels = new DownstreamLevels(simulation.deployment()::kind);
-        budget = new RetryBudget(simulation.deployment().policy().retryBudget());
+        for (PriorityClass priorityClass : PriorityClass.values()) {
+            budgets.put(
+                    priorityClass,
+                    new RetryBudget(simulation.deployment().policy().retryBudget()));
+        }
         link = new LinkBudget(simulation.deployment().link().bitsPerSecond(), simulation.nodesIn(node.region()));
     }
 
@@ -71,7 +82,7 @@
         AttemptAllowance allowance = new AttemptAllowance(share.get(), declaredBelow(call.work));
         call.setAllowance(allowance);
         call.setAttemptShare(allowance.firstAttempt());
-        budget.attempted(now);
+        budget(call.request).attempted(now);
         return choose(call, now);
     }
 
@@ -80,7 +91,8 @@
         if (!failed.code().retryElsewhere() || now >= call.deadline) {
             return Optional.empty();
         }
-        if (levels.check(call.work.kind(), call.request.priority.value(), now).isPresent() || !budget.tryRetry(now)) {
+        if (levels.check(call.work.kind(), call.request.priority.value(), now).isPresent()
+                || !budget(call.request).tryRetry(now)) {
             return Optional.empty();
         }
         Optional<Share> share = call.allowance().orElseThrow().retry(false);
@@ -138,11 +150,15 @@
         return ledger == null ? inbound.share.allowance() : ledger.close();
     }
 
+    private RetryBudget budget(Request request) {
+        return budgets.get(request.priorityClass());
+    }
+
     /** Returns the share of a request from outside; each stated repeat counts as one of its retries. */
     private Optional<Share> shareOf(Request request, long now) {
         int repeats = request.statedAttempt - 1;
         int bound = simulation.deployment().policy().retriesPerRequest();
-        if (repeats > bound || repeats > 0 && !budget.tryRetry(now)) {
+        if (repeats > bound || repeats > 0 && !budget(request).tryRetry(now)) {
             return Optional.empty();
         }
         return Optional.of(new Share(bound - repeats, false));
