Test the admission queue and keep it work conserving while slots are free

Cause: the admission queue had no tests. The first random schedules showed three faults: the level fell to 0 when no call had ended yet; a call was refused for room while slots were free but not yet taken by startable(); and a queue stayed too long after the concurrency limit fell.

Ruled out: taking slots inside finished(), because the caller would have to handle started calls in two places; CRC32C values alone to spread retry times, because the ids of neighbouring requests differ in few bits and their values cluster.

Change: at least one call a window is admitted; only waiting calls without a free slot count against the queue length; the queue is shortened when the limit falls. Tests: random schedules against a plain model, whole overloads on a virtual clock with a fake backend server, and examples.

--- a/core/src/main/java/org/plantainshunt/admission/AdmissionLevel.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionLevel.java
@@ -46,6 +46,9 @@
     /** The level admits at least this share of the capacity, so that slots do not idle once the queue is empty. */
     private static final double LOWEST_SHARE = 0.85;
 
+    /** One call in each window is admitted even if none ended, or the end of a stall would never be seen. */
+    private static final double LOWEST_TARGET = 1;
+
     private static final double SMALLEST_RISE = 1.03;
     private static final double LARGEST_RISE = 2;
 
@@ -193,7 +196,8 @@
 
     private int lowered(int overloaded) {
         double target = Math.max(LOWEST_SHARE * capacity, Math.min(capacity, FALL * demandBelow(level)));
-        return Math.min(level, Math.max(overloaded * Priority.COHORTS, levelFor(target)));
+        int wanted = levelFor(Math.max(LOWEST_TARGET, target));
+        return Math.min(level, Math.max(overloaded * Priority.COHORTS, wanted));
     }
 
     private int raised(double used) {
--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -94,8 +94,8 @@
     private Admission enqueue(CallEntry entry, long now) {
         entry.waitingSince = now;
         entry.latestStart = latestStart(entry, now);
-        boolean full = waiting.size() >= service.queue();
-        boolean shed = entry.priority().value() >= level.level() && waiting.size() >= enoughWaiting();
+        boolean full = queued() >= service.queue();
+        boolean shed = entry.priority().value() >= level.level() && queued() >= enoughWaiting();
         waiting.add(entry);
         if (full || shed) {
             evict(full ? "the queue is full" : "the admission level is " + level.level());
@@ -121,6 +121,7 @@
         longWork.ended(entry);
         running--;
         entry.state = CallEntry.State.ENDED;
+        shorten("the backend server sheds");
     }
 
     /** Returns the calls to hand over now, which hold slots from now on; refuses those that are too late. */
@@ -133,7 +134,7 @@
         while (running < limit.current() && !waiting.isEmpty()) {
             CallEntry entry = waiting.next(now);
             waiting.remove(entry);
-            if (expired(entry, now) || outOfReach(entry, now)) {
+            if (outOfReach(entry, now)) {
                 level.lost(entry.priority());
                 refuse(entry, outOfReachRefusal(entry));
             } else {
@@ -210,9 +211,7 @@
     public void configure(Service newService) {
         use(newService);
         limit.configure(newService.slots());
-        while (waiting.size() > service.queue()) {
-            evict("the queue was made shorter");
-        }
+        shorten("the queue was made shorter");
     }
 
     private void use(Service newService) {
@@ -232,7 +231,7 @@
         while (!waiting.isEmpty() && now - waiting.mostUrgent().latestStart >= 0) {
             CallEntry entry = waiting.mostUrgent();
             waiting.remove(entry);
-            if (expired(entry, now) || outOfReach(entry, now)) {
+            if (outOfReach(entry, now)) {
                 level.lost(entry.priority());
                 refuse(entry, outOfReachRefusal(entry));
             } else {
@@ -250,10 +249,16 @@
         return now - entry.deadline() >= 0;
     }
 
+    /** Returns whether the deadline has passed or is clearly too near. */
     private boolean outOfReach(CallEntry entry, long now) {
         return now - latestStart(entry, now) >= 0;
     }
 
+    /** Returns the number of waiting calls for which no slot is free. */
+    private int queued() {
+        return waiting.size() - Math.max(0, limit.current() - running);
+    }
+
     /** Returns the number of waiting calls that take the target delay to start, at least one per four slots. */
     private int enoughWaiting() {
         double worth = level.capacityPerSecond() * targetDelay / 1e9;
@@ -275,6 +280,13 @@
         }
     }
 
+    /** Evicts the calls over the queue length, which a smaller concurrency limit or queue leaves. */
+    private void shorten(String reason) {
+        while (queued() > service.queue()) {
+            evict(reason);
+        }
+    }
+
     private void evict(String reason) {
         CallEntry entry = waiting.leastImportant();
         waiting.remove(entry);
--- a/core/src/main/java/org/plantainshunt/admission/RetryAfter.java
+++ b/core/src/main/java/org/plantainshunt/admission/RetryAfter.java
@@ -1,5 +1,7 @@
 package org.plantainshunt.admission;
 
+import java.util.SplittableRandom;
+
 /**
  * When a refused caller should come again.
  *
@@ -13,7 +15,6 @@
 
     private static final double LONGEST_MILLISECONDS = 5_000;
     private static final double MILLISECONDS_PER_SECOND = 1_000;
-    private static final double CHECKSUMS = 0x1p32;
 
     private final AdmissionLevel level;
 
@@ -35,6 +36,6 @@
     }
 
     private static long spread(CallEntry entry, double milliseconds) {
-        return Math.round(milliseconds * (1 + Priority.checksum(entry.id()) / CHECKSUMS));
+        return Math.round(milliseconds * (1 + new SplittableRandom(Priority.checksum(entry.id())).nextDouble()));
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/plantainshunt/admission/AdmissionQueuePropertyTest.java
@@ -0,0 +1,221 @@
+package org.plantainshunt.admission;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.plantainshunt.configuration.Service;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Random schedules against a plain model of who waits and who runs.
+ *
+ * <p>Guards against more running calls than slots, idle slots while calls wait, a start after the deadline, a call that
+ * is lost or decided twice, a queue longer than configured, an expired call that takes room, and the refusal for room
+ * of a call while a less important one waits.
+ */
+class AdmissionQueuePropertyTest {
+    private static final long MILLISECOND = 1_000_000L;
+
+    /** What may happen next. */
+    enum Action {
+        OFFER,
+        FINISH,
+        START,
+        CANCEL,
+        CANCEL_LONG,
+        DRAIN,
+        SERVE,
+        CONFIGURE
+    }
+
+    /** An action after a pause in milliseconds; long pauses stand for a frozen process. */
+    record Step(Action action, int number, int pause) {}
+
+    @Provide
+    Arbitrary<List<Step>> schedules() {
+        Arbitrary<Action> action = Arbitraries.frequency(
+                Tuple.of(50, Action.OFFER),
+                Tuple.of(20, Action.FINISH),
+                Tuple.of(10, Action.START),
+                Tuple.of(5, Action.CANCEL),
+                Tuple.of(5, Action.CANCEL_LONG),
+                Tuple.of(1, Action.DRAIN),
+                Tuple.of(4, Action.SERVE),
+                Tuple.of(1, Action.CONFIGURE));
+        Arbitrary<Integer> pause = Arbitraries.frequency(
+                Tuple.of(20, 0), Tuple.of(15, 1), Tuple.of(10, 7), Tuple.of(4, 60), Tuple.of(1, 3000));
+        return Combinators.combine(action, Arbitraries.integers().between(0, 9999), pause)
+                .as(Step::new)
+                .list()
+                .ofMinSize(20)
+                .ofMaxSize(300);
+    }
+
+    @Property(tries = 2000)
+    void decisionsKeepTheInvariants(@ForAll("schedules") List<Step> schedule) {
+        World world = new World();
+        for (Step step : schedule) {
+            world.take(step);
+        }
+    }
+
+    /** The queue, and what an outside observer knows. */
+    private static final class World {
+        private final Set<CallEntry> waiting = new HashSet<>();
+        private final List<CallEntry> running = new ArrayList<>();
+        private final Set<CallEntry> cancelledLong = new HashSet<>();
+        private final List<AdmissionQueue.Refused> refused = new ArrayList<>();
+        private Service service = SlotServer.service(4, 6, 0.5);
+        private final AdmissionQueue queue = new AdmissionQueue(service, this::refused);
+        private boolean draining;
+        private long longestRun;
+        private long now = Long.MAX_VALUE - 1000 * MILLISECOND;
+
+        private void refused(AdmissionQueue.Refused one) {
+            refused.add(one);
+            CallEntry entry = one.entry();
+            assertFalse(running.contains(entry), "refused while it runs: " + one);
+            int waited = waiting.remove(entry) ? 1 : 0;
+            ResultCode code = one.refusal().code();
+            assertEquals(RunState.NOT_RUN, code.runState());
+            switch (code) {
+                case OVERLOADED -> {
+                    assertNoneLessImportant(entry);
+                    assertTrue(running.size() + waiting.size() + waited >= queue.limit(), "slots are free: " + one);
+                }
+                case DEADLINE_TOO_SHORT -> assertTrue(entry.deadline() - now <= longestRun, one.toString());
+                default -> assertTrue(draining, one.toString());
+            }
+        }
+
+        private void assertNoneLessImportant(CallEntry entry) {
+            for (CallEntry other : waiting) {
+                assertTrue(other.priority().compareTo(entry.priority()) <= 0, entry + " refused, but waits: " + other);
+            }
+        }
+
+        private void take(Step step) {
+            now += step.pause() * MILLISECOND;
+            switch (step.action()) {
+                case OFFER -> offer(step.number());
+                case FINISH -> finish(step.number());
+                case START -> start();
+                case CANCEL -> cancel(step.number());
+                case CANCEL_LONG -> cancelLong();
+                case CONFIGURE -> configure(step.number());
+                case DRAIN -> {
+                    draining = true;
+                    queue.drain();
+                    assertEquals(0, queue.waiting());
+                }
+                default -> {
+                    draining = false;
+                    queue.serve();
+                }
+            }
+            assertEquals(waiting.size(), queue.waiting());
+            assertEquals(running.size(), queue.running());
+            int free = Math.max(0, queue.limit() - queue.running());
+            assertTrue(queue.waiting() <= service.queue() + free);
+            assertTrue(queue.level() > 0 && queue.level() <= Priority.VALUES);
+        }
+
+        private void offer(int number) {
+            long deadline = now + (number % 7 == 0 ? number % 20 : 500) * MILLISECOND;
+            Priority priority = Priority.ofValue(number % Priority.VALUES);
+            CallEntry entry = new CallEntry("r" + number, priority, "k" + number % 2, number % 3 == 0, deadline, now);
+            refused.clear();
+            Admission admission = queue.offer(entry, now);
+            boolean room = running.size() + waiting.size() + evicted(entry) < queue.limit();
+            boolean reported = refused.stream().anyMatch(one -> one.entry() == entry);
+            assertEquals(admission == Admission.REFUSE, reported);
+            if (admission == Admission.START) {
+                addRunning(entry);
+            } else if (admission == Admission.WAIT) {
+                waiting.add(entry);
+                refused.stream()
+                        .filter(one -> one.refusal().code() == ResultCode.OVERLOADED)
+                        .forEach(one -> assertNoneLessImportant(one.entry()));
+            }
+            assertEquals(room && !draining && deadline - now > 0, admission == Admission.START, entry.toString());
+        }
+
+        /** Returns how many other calls the offer of this one displaced. */
+        private int evicted(CallEntry entry) {
+            return (int) refused.stream()
+                    .filter(one -> one.entry() != entry && one.refusal().code() == ResultCode.OVERLOADED)
+                    .count();
+        }
+
+        private void addRunning(CallEntry entry) {
+            running.add(entry);
+            assertTrue(running.size() <= queue.limit(), running.size() + " run, limit " + queue.limit());
+            assertTrue(entry.deadline() - now > 0, "started too late: " + entry);
+            assertEquals(now, entry.startedAt());
+        }
+
+        private void finish(int number) {
+            if (running.isEmpty()) {
+                return;
+            }
+            CallEntry entry = running.remove(number % running.size());
+            longestRun = Math.max(longestRun, now - entry.startedAt());
+            CallEnd end = number % 5 == 0 ? CallEnd.values()[number / 5 % 4] : CallEnd.ANSWERED;
+            queue.finished(entry, end, now);
+            queue.finished(entry, CallEnd.CANCELLED, now);
+        }
+
+        private void start() {
+            for (CallEntry entry : queue.startable(now)) {
+                assertTrue(waiting.remove(entry), "did not wait: " + entry);
+                addRunning(entry);
+                for (CallEntry other : waiting) {
+                    assertTrue(other.priority()
+                                    .priorityClass()
+                                    .compareTo(entry.priority().priorityClass())
+                            >= 0);
+                }
+            }
+            assertTrue(waiting.isEmpty() || running.size() >= queue.limit(), "idle slots while calls wait");
+            waiting.forEach(entry -> assertTrue(entry.deadline() - now > 0, "expired, but waits: " + entry));
+        }
+
+        private void cancel(int number) {
+            List<CallEntry> known = new ArrayList<>(number % 2 == 0 ? waiting : running);
+            if (!known.isEmpty()) {
+                CallEntry entry = known.get(number % known.size());
+                boolean waited = queue.cancel(entry, now);
+                assertEquals(waiting.remove(entry), waited);
+            }
+        }
+
+        private void cancelLong() {
+            for (CallEntry entry : queue.overlong(now)) {
+                assertTrue(running.contains(entry) && !entry.atMostOnce(), entry.toString());
+                assertTrue(cancelledLong.add(entry), "cancelled twice: " + entry);
+                assertFalse(waiting.isEmpty());
+                longestRun = Math.max(longestRun, now - entry.startedAt());
+            }
+            running.forEach(entry -> longestRun = Math.max(longestRun, now - entry.startedAt()));
+        }
+
+        private void configure(int number) {
+            service = SlotServer.service(1 + number % 8, number % 10, 0.5);
+            queue.configure(service);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/plantainshunt/admission/SlotServer.java
@@ -0,0 +1,153 @@
+package org.plantainshunt.admission;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.plantainshunt.configuration.PriorityClass;
+import org.plantainshunt.configuration.Service;
+
+/**
+ * A fake backend server behind an admission queue, and entry nodes that follow its level, on a virtual clock.
+ *
+ * <p>Calls arrive at random times, a quarter in each class, and have a deadline of 2 s. The entry nodes know the level
+ * 20 ms late and let one call in 50 through as a probe. The first 3 s are not counted.
+ */
+final class SlotServer {
+    static final long MILLISECOND = 1_000_000L;
+    static final long SECOND = 1_000 * MILLISECOND;
+    private static final long LEVEL_LAG = 20 * MILLISECOND;
+    private static final long DEADLINE = 2 * SECOND;
+    private static final long COUNTED_FROM = 3 * SECOND;
+    private static final int PROBE = 50;
+
+    /** A value that depends on the time since the start, in nanoseconds. */
+    interface Course {
+        double at(long time);
+    }
+
+    /** What happens at a time. */
+    private record Event(long time, long order, Runnable action) {}
+
+    /** The state at the end of a window of 100 ms, and the answers in it. */
+    record Sample(int level, int waiting, int answered) {}
+
+    final int[] offered = new int[PriorityClass.values().length];
+    final int[] answered = new int[offered.length];
+    final List<Sample> samples = new ArrayList<>();
+    private final Random random;
+    private final AdmissionQueue queue;
+    private final Course callsPerSecond;
+    private final Course serviceTime;
+    private final double stragglers;
+    private final List<Long> latencies = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparingLong(Event::order));
+    private final ArrayDeque<long[]> reports = new ArrayDeque<>();
+    private final Set<CallEntry> cancelled = new HashSet<>();
+    private int levelAtEntry = AdmissionLevel.ALL;
+    private int answeredInWindow;
+    private long now;
+    private long order;
+
+    /** Runs a server; its service times are even around the given one, those of stragglers 100 times as long. */
+    SlotServer(long seed, Service service, Course callsPerSecond, Course serviceTime, double stragglers, int seconds) {
+        this.random = new Random(seed);
+        this.callsPerSecond = callsPerSecond;
+        this.serviceTime = serviceTime;
+        this.stragglers = stragglers;
+        this.queue = new AdmissionQueue(service, refused -> {});
+        at(0, this::arrive);
+        at(0, this::sample);
+        while (events.peek().time() < seconds * SECOND) {
+            Event event = events.remove();
+            now = event.time();
+            event.action().run();
+        }
+    }
+
+    static Service service(int slots, int queue, double longWorkShare) {
+        return new Service("recorder", slots, 900, queue, Duration.ofMillis(20), longWorkShare, 10);
+    }
+
+    private void at(long time, Runnable action) {
+        events.add(new Event(time, order++, action));
+    }
+
+    private void arrive() {
+        at(now + (long) (-Math.log(1 - random.nextDouble()) * SECOND / callsPerSecond.at(now)), this::arrive);
+        Priority priority = Priority.ofValue(random.nextInt(Priority.VALUES));
+        offered[priority.priorityClass().ordinal()] += now < COUNTED_FROM ? 0 : 1;
+        while (!reports.isEmpty() && reports.peek()[0] <= now) {
+            levelAtEntry = (int) reports.remove()[1];
+        }
+        if (priority.value() >= levelAtEntry && random.nextInt(PROBE) != 0) {
+            return;
+        }
+        CallEntry entry = new CallEntry("r" + order, priority, "k", false, now + DEADLINE, now);
+        if (queue.offer(entry, now) == Admission.START) {
+            hold(entry);
+        }
+        reports.add(new long[] {now + LEVEL_LAG, queue.level()});
+    }
+
+    private void hold(CallEntry entry) {
+        boolean straggler = random.nextDouble() < stragglers;
+        long end = now + (long) (serviceTime.at(now) * (0.5 + random.nextDouble()) * (straggler ? 100 : 1));
+        at(Math.min(end, entry.deadline()), () -> end(entry, end <= entry.deadline(), straggler));
+    }
+
+    private void end(CallEntry entry, boolean whole, boolean straggler) {
+        if (cancelled.remove(entry)) {
+            return;
+        }
+        queue.finished(entry, whole ? CallEnd.ANSWERED : CallEnd.CANCELLED, now);
+        if (whole && !straggler) {
+            answeredInWindow++;
+            if (now >= COUNTED_FROM) {
+                answered[entry.priority().priorityClass().ordinal()]++;
+                latencies.add(now - entry.arrived());
+            }
+        }
+        next();
+    }
+
+    private void next() {
+        queue.startable(now).forEach(this::hold);
+        for (CallEntry entry : queue.overlong(now)) {
+            cancelled.add(entry);
+            queue.finished(entry, CallEnd.CANCELLED, now);
+        }
+        queue.startable(now).forEach(this::hold);
+        reports.add(new long[] {now + LEVEL_LAG, queue.level()});
+    }
+
+    private void sample() {
+        next();
+        at(now + 100 * MILLISECOND, this::sample);
+        samples.add(new Sample(queue.level(), queue.waiting(), answeredInWindow));
+        answeredInWindow = 0;
+    }
+
+    double share(PriorityClass priorityClass) {
+        return (double) answered[priorityClass.ordinal()] / offered[priorityClass.ordinal()];
+    }
+
+    double answeredPerSecond() {
+        return Arrays.stream(answered).sum() * (double) SECOND / (now - COUNTED_FROM);
+    }
+
+    /** Returns the latency that one call in 100 exceeds, in milliseconds. */
+    double p99() {
+        List<Long> sorted = new ArrayList<>(latencies);
+        sorted.sort(null);
+        return sorted.get((int) (0.99 * sorted.size())) / (double) MILLISECOND;
+    }
+}
