Draw gossip peers from a few partners and test the spread in a model

Ruled out: fewer exchanges, which slow the last nodes down.

Change: 24 partners a node, one of which is replaced every 60 exchanges. The model's reads name the entity tags of all versions seen, so that a stale replica answers 304; the node must do so too.

--- a/core/src/main/java/org/plantainshunt/membership/DocumentGossip.java
+++ b/core/src/main/java/org/plantainshunt/membership/DocumentGossip.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -14,7 +17,8 @@
  *
  * <p>Invariant: the current version only moves upwards in the order of {@link DocumentVersion}. Every node polls the
  * platform, announces a newer document to a few random peers at once, and compares versions with one random peer each
- * second, so no single node's failure stops the distribution. Confined to one thread.
+ * second, so no single node's failure stops the distribution. The random peers are drawn from a few partners, which
+ * change slowly, so that connections are used again. Confined to one thread.
  *
  * <pre>{@code
  * if (gossip.wants(announced, now)) {
@@ -28,6 +32,17 @@
     /** The peers that an accepted document is announced to; four reach 98 nodes in 100 without any exchange. */
     private static final int ANNOUNCE_TO = 4;
 
+    /**
+     * The peers that this node keeps contact with.
+     *
+     * <p>With a new random peer each time, a node in a large fleet makes a new connection with almost every message,
+     * which takes about 2 KB/s for greetings and ends with a connection to every node.
+     */
+    private static final int PARTNERS = 24;
+
+    /** The exchanges after which one partner is replaced by another random peer: about a minute. */
+    private static final int EXCHANGES_PER_PARTNER = 60;
+
     /** The reads at the platform that the whole fleet makes for one kind of document, a second. */
     private static final double READS_PER_SECOND = 50;
 
@@ -45,7 +60,10 @@
     private final RandomGenerator random;
     private Optional<DocumentVersion> current = Optional.empty();
     private Optional<DocumentVersion> requested = Optional.empty();
+    private final List<String> partners = new ArrayList<>();
+    private List<String> partnersOf = List.of();
     private long requestedAt;
+    private int exchanges;
 
     /**
      * Creates the state of a node without a document.
@@ -60,7 +78,7 @@
      * Notes that a document is in force and chooses the peers to announce it to.
      *
      * @param version the version of the document
-     * @param peers the names of all other nodes
+     * @param peers the names of all other nodes, each once
      * @return the peers to tell at once; none if the version is not newer than the current one
      */
     public List<String> accepted(DocumentVersion version, List<String> peers) {
@@ -71,7 +89,8 @@
         if (requested.isPresent() && requested.get().compareTo(version) <= 0) {
             requested = Optional.empty();
         }
-        return sample(peers, ANNOUNCE_TO);
+        keepPartners(peers);
+        return sample(partners, ANNOUNCE_TO);
     }
 
     /**
@@ -88,11 +107,18 @@
     /**
      * Chooses the peer to compare versions with in this second.
      *
-     * @param peers the names of all other nodes
+     * <p>Passing the same list object while the peers are the same saves comparing them.
+     *
+     * @param peers the names of all other nodes, each once
      * @return the peer, or empty if there is none
      */
     public Optional<String> nextExchange(List<String> peers) {
-        return peers.isEmpty() ? Optional.empty() : Optional.of(peers.get(random.nextInt(peers.size())));
+        exchanges++;
+        if (exchanges % EXCHANGES_PER_PARTNER == 0 && partners.size() == PARTNERS) {
+            partners.remove(random.nextInt(PARTNERS));
+        }
+        keepPartners(peers);
+        return partners.isEmpty() ? Optional.empty() : Optional.of(partners.get(random.nextInt(partners.size())));
     }
 
     /**
@@ -138,6 +164,26 @@
         return current.isEmpty() || version.compareTo(current.get()) > 0;
     }
 
+    /** Drops partners that are no longer peers and fills up with random peers. */
+    private void keepPartners(List<String> peers) {
+        if (peers != partnersOf) {
+            partners.retainAll(new HashSet<>(peers));
+            partnersOf = peers;
+        }
+        if (partners.size() >= Math.min(PARTNERS, peers.size())) {
+            return;
+        }
+        Set<String> kept = new LinkedHashSet<>(partners);
+        if (peers.size() <= PARTNERS) {
+            kept.addAll(peers);
+        }
+        while (kept.size() < Math.min(PARTNERS, peers.size())) {
+            kept.add(peers.get(random.nextInt(peers.size())));
+        }
+        partners.clear();
+        partners.addAll(kept);
+    }
+
     private List<String> sample(List<String> peers, int count) {
         if (peers.size() <= count) {
             return List.copyOf(peers);
--- /dev/null
+++ b/core/src/test/java/org/plantainshunt/membership/GossipModel.java
@@ -0,0 +1,203 @@
+package org.plantainshunt.membership;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.plantainshunt.configuration.DocumentVersion;
+
+/** Nodes that spread documents from a replicated platform, on a virtual clock with message delays. */
+final class GossipModel {
+    static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    /** Bytes with TCP and IP headers: a message with a version, a compressed document, and a new connection. */
+    private static final int VERSION_BYTES = 200;
+
+    private static final int DOCUMENT_BYTES = 6_500;
+    private static final int CONNECTION_BYTES = 1_000;
+
+    final DocumentVersion[] replicas = new DocumentVersion[3];
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<String> names;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Random random;
+    private long scheduled;
+    private long now;
+    private long reads;
+    private int splitAt;
+
+    GossipModel(int size, long seed) {
+        random = new Random(seed);
+        names = IntStream.range(0, size).mapToObj(Integer::toString).toList();
+        Arrays.fill(replicas, new DocumentVersion(1, "a"));
+        for (int index = 0; index < size; index++) {
+            Node node = new Node(index, new DocumentGossip(new Random(seed + 1 + index)));
+            node.gossip.accepted(replicas[0], List.of());
+            nodes.add(node);
+            after((long) (random.nextDouble() * node.gossip.nextPoll(size).toNanos()), node::poll);
+            after((long) (random.nextDouble() * SECOND), node::exchange);
+        }
+    }
+
+    /** Publishes a version at replicas of the platform; the others are stale. */
+    void publish(DocumentVersion version, int... at) {
+        for (int replica : at) {
+            replicas[replica] = version;
+        }
+    }
+
+    /** Cuts the nodes with a lower index off from the platform and from the other nodes; 0 heals. */
+    void split(int index) {
+        splitAt = index;
+    }
+
+    void kill(int from, int to) {
+        nodes.subList(from, to).forEach(node -> node.dead = true);
+    }
+
+    /** Runs until all live nodes have a version and returns the seconds this took, or -1 after a limit. */
+    double secondsUntil(DocumentVersion version, double limitSeconds) {
+        long start = now;
+        while (now - start < limitSeconds * SECOND) {
+            if (nodes.stream().allMatch(node -> node.dead || node.has(version))) {
+                return (now - start) / (double) SECOND;
+            }
+            run(SECOND / 100);
+        }
+        return -1;
+    }
+
+    void run(long duration) {
+        long end = now + duration;
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event event = events.poll();
+            now = event.at;
+            event.action.run();
+        }
+        now = end;
+    }
+
+    long now() {
+        return now;
+    }
+
+    double readsPerSecond() {
+        return reads * (double) SECOND / now;
+    }
+
+    /** Returns the bytes a second, in and out, of the busiest node. */
+    double busiest() {
+        return nodes.stream().mapToLong(node -> node.bytes).max().orElseThrow() * (double) SECOND / now;
+    }
+
+    double average() {
+        return nodes.stream().mapToLong(node -> node.bytes).average().orElseThrow() * SECOND / now;
+    }
+
+    private void after(long delay, Runnable action) {
+        events.add(new Event(now + delay, scheduled++, action));
+    }
+
+    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** A node. */
+    private final class Node {
+        private final int index;
+        private final DocumentGossip gossip;
+        private final BitSet connected = new BitSet();
+        private long bytes;
+        private boolean dead;
+
+        /** The versions for which the platform answers "not modified"; a read names the entity tags of the last few. */
+        private final Set<DocumentVersion> seen = new HashSet<>();
+
+        Node(int index, DocumentGossip gossip) {
+            this.index = index;
+            this.gossip = gossip;
+        }
+
+        boolean has(DocumentVersion version) {
+            return gossip.current().orElseThrow().equals(version);
+        }
+
+        private void poll() {
+            after(gossip.nextPoll(nodes.size()).toNanos(), this::poll);
+            if (dead || index < splitAt) {
+                return;
+            }
+            reads++;
+            DocumentVersion found = replicas[random.nextInt(replicas.length)];
+            bytes += seen.contains(found) ? 2 * VERSION_BYTES : DOCUMENT_BYTES;
+            seen.add(found);
+            after(SECOND / 100, () -> accept(found));
+        }
+
+        private void exchange() {
+            after(SECOND, this::exchange);
+            gossip.nextExchange(names).ifPresent(peer -> announce(nodes.get(Integer.parseInt(peer))));
+        }
+
+        private void announce(Node peer) {
+            DocumentVersion mine = gossip.current().orElseThrow();
+            send(peer, VERSION_BYTES, () -> peer.heard(mine, this));
+        }
+
+        private void heard(DocumentVersion theirs, Node from) {
+            if (gossip.wants(theirs, now)) {
+                gossip.requested(theirs, now);
+                send(from, VERSION_BYTES, () -> from.answer(this));
+            } else if (gossip.current().orElseThrow().compareTo(theirs) > 0) {
+                announce(from);
+            }
+        }
+
+        private void answer(Node to) {
+            DocumentVersion mine = gossip.current().orElseThrow();
+            send(to, DOCUMENT_BYTES, () -> to.accept(mine));
+        }
+
+        private void accept(DocumentVersion version) {
+            seen.add(version);
+            DocumentVersion before = gossip.current().orElseThrow();
+            for (String peer : gossip.accepted(version, names)) {
+                announce(nodes.get(Integer.parseInt(peer)));
+            }
+            if (gossip.current().orElseThrow().compareTo(before) < 0) {
+                throw new AssertionError("node " + index + " went back from " + before);
+            }
+        }
+
+        /** Sends with a delay of 0.5 to 40 ms; nothing passes to or from a dead node or between the parts. */
+        private void send(Node to, int size, Runnable action) {
+            if (dead || to == this) {
+                return;
+            }
+            int connection = connected.get(to.index) ? 0 : CONNECTION_BYTES;
+            bytes += size + connection;
+            boolean cut = index < splitAt != to.index < splitAt;
+            if (to.dead || cut) {
+                return;
+            }
+            connected.set(to.index);
+            to.bytes += size + connection;
+            after((long) (SECOND * (0.0005 + 0.0395 * random.nextDouble())), () -> {
+                if (!to.dead) {
+                    action.run();
+                }
+            });
+        }
+    }
+}
--- a/core/src/test/java/org/plantainshunt/membership/MembershipTest.java
+++ b/core/src/test/java/org/plantainshunt/membership/MembershipTest.java
@@ -28,9 +28,9 @@
     /**
      * Each row is a sequence of evidence on vm-0 and whether it may get new work afterwards.
      *
-     * <p>{@code live} and {@code leaving} are lists, {@code +N} and {@code -N} greetings of incarnation N as serving and
-     * as draining, {@code dN} is a drain message of N, {@code x} a failed and {@code l} a lost connection, {@code w} a
-     * wait of 1 s.
+     * <p>{@code live} and {@code leaving} are lists, {@code +N} and {@code -N} are greetings of incarnation N as
+     * serving and as draining, {@code dN} is a drain message of N, {@code x} a failed and {@code l} a lost connection,
+     * {@code w} a wait of 1 s.
      */
     @ParameterizedTest
     @CsvSource({
