Keep answers whole and in order at the node's HTTP edges

Raw-socket tests showed these faults of the node: - An answer without a length, or whose head broke off, was reported as whole (1000): the HTTP client's aggregator adds a Content-Length. - An answer cut after its head was 1200 instead of 1203. - A malformed chunk ended an answer or a request body as if it were whole. - largest-answer was not enforced; the limit was a fixed 16 MiB. - Plantainshunt-Shed was filtered before the admission queue saw it. - Pipelined requests were answered in any order. - Undecodable requests and headers over 64 KiB were answered without result code, run state and request id. - A body sent slowly had no end; open requests counted only after their body, and their bytes not at all. - A caller that left before its call reached the decisions, or within its body, was not noticed. - A caller still writing its body met a reset instead of its refusal. - Refusals before the decisions were neither logged nor counted.

Ruled out: Ratpack's own limits and handlers, which give no access to the pipeline or to decoder failures. Ratpack does tell of a caller that leaves while its request is processed (close future of the channel).

Answers and bodies are now read as streams with a size and a time. A Netty channel extension adds a guard behind the HTTP codecs of Ratpack's connections. Requests hold at most 16 MiB of bodies in total (1108).

--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/BodyReader.java
@@ -0,0 +1,117 @@
+package org.plantainshunt.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import org.plantainshunt.result.Refusal;
+import org.plantainshunt.result.ResultCode;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+
+/**
+ * Reads the body of a request within a size and a time.
+ *
+ * <p>The size is checked while bytes arrive, since a chunked body states no length. Gives one result, or none if the
+ * caller goes away. Confined to the event loop of the connection.
+ */
+final class BodyReader implements Subscriber<ByteBuf> {
+    private final long largestBytes;
+    private final BooleanSupplier roomLeft;
+    private final RunningRequest request;
+    private final BiConsumer<byte[], Refusal> end;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final Future<?> timeout;
+    private Subscription subscription;
+    private boolean ended;
+
+    /**
+     * Creates a reader.
+     *
+     * @param largestBytes the size limit in bytes
+     * @param nanoseconds the time within which the whole body must arrive
+     * @param roomLeft whether the node may hold more bytes
+     * @param request counts the bytes that are held
+     * @param end receives the body, or null and why it was not read
+     */
+    BodyReader(
+            EventLoop eventLoop,
+            long largestBytes,
+            long nanoseconds,
+            BooleanSupplier roomLeft,
+            RunningRequest request,
+            BiConsumer<byte[], Refusal> end) {
+        this.largestBytes = largestBytes;
+        this.roomLeft = roomLeft;
+        this.request = request;
+        this.end = end;
+        this.timeout = eventLoop.schedule(this::timedOut, nanoseconds, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void onSubscribe(Subscription given) {
+        subscription = given;
+        given.request(Long.MAX_VALUE);
+    }
+
+    @Override
+    public void onNext(ByteBuf part) {
+        try {
+            if (!ended) {
+                take(part);
+            }
+        } finally {
+            part.release();
+        }
+    }
+
+    @Override
+    public void onError(Throwable error) {
+        // The connection is lost, so nobody is left to be told.
+        ended = true;
+        timeout.cancel(false);
+    }
+
+    @Override
+    public void onComplete() {
+        end(body.toByteArray(), null);
+    }
+
+    private void take(ByteBuf part) {
+        int count = part.readableBytes();
+        if (body.size() + (long) count > largestBytes) {
+            stop(Refusal.of(ResultCode.BODY_TOO_LARGE, "a body of over " + largestBytes + " bytes"));
+            return;
+        }
+        request.hold(count);
+        if (!roomLeft.getAsBoolean()) {
+            stop(Refusal.of(ResultCode.NODE_BUSY, "the requests without a reply hold too many bytes"));
+            return;
+        }
+        body.writeBytes(ByteBufUtil.getBytes(part));
+    }
+
+    private void timedOut() {
+        if (!ended && subscription != null) {
+            stop(Refusal.of(ResultCode.DEADLINE_TOO_SHORT, "the body did not arrive within the deadline"));
+        }
+    }
+
+    private void stop(Refusal refusal) {
+        subscription.cancel();
+        end(null, refusal);
+    }
+
+    private void end(byte[] bytes, Refusal refusal) {
+        if (!ended) {
+            ended = true;
+            timeout.cancel(false);
+            end.accept(bytes, refusal);
+        }
+    }
+}
--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -7,21 +7,28 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.Channel;
-import io.netty.util.AttributeKey;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import org.plantainshunt.call.CallReply;
 import org.plantainshunt.call.InboundCall;
-import org.plantainshunt.protocol.CancelHandle;
 import org.plantainshunt.protocol.Header;
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.ResultCode;
 import org.plantainshunt.result.RunState;
+import ratpack.exec.Downstream;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
 import ratpack.http.Headers;
@@ -42,17 +49,28 @@
     private static final int LARGEST_HEADERS_READ_BYTES = 64 * 1024;
     private static final int MILLISECONDS_PER_SECOND = 1000;
     private static final int LARGEST_ID_CHARACTERS = 128;
+    /** The bodies of requests without a reply; the heap of a node has 96 MiB. */
+    private static final long LARGEST_HELD_BYTES = 16L * 1024 * 1024;
+
+    /** The longest deadline that a configuration may state. */
+    private static final long LONGEST_BODY_TIME = TimeUnit.SECONDS.toNanos(30);
+
+    /** The reader of bodies has its own limit, which also tells what was exceeded. */
+    private static final long UNBOUNDED = Long.MAX_VALUE;
+
     private static final byte[] NO_BYTES = {};
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final AttributeKey<Running> RUNNING = AttributeKey.valueOf("plantainshunt-running");
 
     private final String node;
     private final boolean fromBackendServer;
     private final CallTaker taker;
     private final LongSupplier largestBodyBytes;
     private final LongSupplier clock;
+    private final BiConsumer<String, Refusal> refusals;
+    private final AtomicLong heldBytes = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
     private final RatpackServer server;
+    private final InetSocketAddress listening;
 
     /**
      * Starts the server.
@@ -64,6 +82,7 @@
      * @param taker takes the calls
      * @param largestBodyBytes the size limit of a request's body, in bytes
      * @param clock a monotonic clock in nanoseconds
+     * @param refusals receives the request id of each request that is refused before it reaches the taker
      * @throws Exception if the address cannot be bound
      */
     public CallerServer(
@@ -73,19 +92,24 @@
             boolean fromBackendServer,
             CallTaker taker,
             LongSupplier largestBodyBytes,
-            LongSupplier clock)
+            LongSupplier clock,
+            BiConsumer<String, Refusal> refusals)
             throws Exception {
         this.node = node;
         this.fromBackendServer = fromBackendServer;
         this.taker = taker;
         this.largestBodyBytes = largestBodyBytes;
         this.clock = clock;
+        this.refusals = refusals;
         this.server = RatpackServer.start(spec -> spec.serverConfig(config -> config.address(address.getAddress())
                         .port(address.getPort())
                         .threads(threads)
                         .development(false)
+                        .maxInitialLineLength(LARGEST_HEADERS_READ_BYTES)
                         .maxHeaderSize(LARGEST_HEADERS_READ_BYTES))
                 .handlers(chain -> chain.all(this::handle)));
+        this.listening = new InetSocketAddress(address.getAddress(), server.getBindPort());
+        HttpChannels.guard(listening, this::undecodable);
     }
 
     /** Returns the server, whose execution controller the node's HTTP clients share. */
@@ -100,6 +124,7 @@
 
     @Override
     public void close() throws IOException {
+        HttpChannels.forget(listening);
         try {
             server.stop();
         } catch (Exception e) {
@@ -110,59 +135,110 @@
     private void handle(Context context) {
         long arrived = clock.getAsLong();
         Request request = context.getRequest();
-        if (headerBytes(request.getHeaders()) > LARGEST_HEADERS_BYTES) {
-            send(context, requestId(request), refused(ResultCode.HEADER_TOO_LARGE, "over 8 KiB of headers", request));
+        String requestId = requestId(request);
+        RunningRequest running =
+                RunningRequest.begin(context.getDirectChannelAccess().getChannel(), heldBytes, open::decrementAndGet);
+        Optional<Refusal> early = refusedUnread(request, open.incrementAndGet());
+        if (early.isPresent()) {
+            refuse(context, running, requestId, early.get());
             return;
         }
+        Promise.<Body>async(downstream ->
+                        request.getBodyStream(UNBOUNDED).subscribe(bodyReader(context, running, request, downstream)))
+                .then(body -> {
+                    if (body.refusal() != null) {
+                        refuse(context, running, requestId, body.refusal());
+                        return;
+                    }
+                    take(context, running, requestId, body.bytes(), arrived);
+                });
+    }
+
+    /** Refuses what can be refused before its body has arrived. */
+    private Optional<Refusal> refusedUnread(Request request, int openNow) {
+        if (openNow > LARGEST_OPEN_REQUESTS) {
+            return Optional.of(Refusal.of(ResultCode.NODE_BUSY, "too many requests without a reply"));
+        }
+        if (headerBytes(request) > LARGEST_HEADERS_BYTES) {
+            return Optional.of(Refusal.of(ResultCode.HEADER_TOO_LARGE, "over 8 KiB of path and headers"));
+        }
         long limit = largestBodyBytes.getAsLong();
-        request.getBody(
-                        limit,
-                        () -> send(
-                                context,
-                                requestId(request),
-                                refused(ResultCode.BODY_TOO_LARGE, "a body of over " + limit + " bytes", request)))
-                .then(body -> take(context, body.getBytes(), arrived));
+        if (request.getContentLength() > limit) {
+            return Optional.of(Refusal.of(ResultCode.BODY_TOO_LARGE, "a body of over " + limit + " bytes"));
+        }
+        return Optional.empty();
+    }
+
+    private BodyReader bodyReader(
+            Context context, RunningRequest running, Request request, Downstream<? super Body> downstream) {
+        long time = deadline(request.getHeaders())
+                .map(TimeUnit.MILLISECONDS::toNanos)
+                .filter(left -> left < LONGEST_BODY_TIME)
+                .orElse(LONGEST_BODY_TIME);
+        return new BodyReader(
+                context.getDirectChannelAccess().getChannel().eventLoop(),
+                largestBodyBytes.getAsLong(),
+                time,
+                () -> heldBytes.get() <= LARGEST_HELD_BYTES,
+                running,
+                (bytes, refusal) -> downstream.success(new Body(bytes, refusal)));
     }
 
-    private void take(Context context, byte[] body, long arrived) {
+    private void take(Context context, RunningRequest running, String requestId, byte[] body, long arrived) {
         Request request = context.getRequest();
-        String requestId = requestId(request);
         Optional<InboundCall> parsed = parse(request, requestId, body, arrived);
         if (parsed.isEmpty()) {
             String detail = "expected /SERVICE/KIND and well-formed Plantainshunt headers";
-            send(context, requestId, refused(ResultCode.MALFORMED_REQUEST, detail, request));
+            refuse(context, running, requestId, Refusal.of(ResultCode.MALFORMED_REQUEST, detail));
             return;
         }
-        if (open.incrementAndGet() > LARGEST_OPEN_REQUESTS) {
-            open.decrementAndGet();
-            send(context, requestId, refused(ResultCode.NODE_BUSY, "too many requests without a reply", request));
-            return;
-        }
-        Running running = track(context.getDirectChannelAccess().getChannel());
-        Promise.<CallReply>async(downstream -> {
+        Promise.<Optional<CallReply>>async(downstream -> {
                     boolean taken = taker.take(
-                            parsed.get(), reply -> downstream.success(reply), handle -> running.handle = handle);
+                            parsed.get(), reply -> downstream.success(Optional.of(reply)), running::cancelWith);
                     if (!taken) {
-                        downstream.success(refused(ResultCode.NODE_BUSY, "the ring of decisions is full", request));
+                        downstream.success(Optional.empty());
                     }
                 })
                 .then(reply -> {
-                    running.handle = null;
-                    open.decrementAndGet();
-                    send(context, requestId, reply);
+                    if (reply.isEmpty()) {
+                        Refusal busy = Refusal.of(ResultCode.NODE_BUSY, "the ring of decisions is full");
+                        refuse(context, running, requestId, busy);
+                        return;
+                    }
+                    running.end();
+                    send(context, requestId, reply.get());
                 });
     }
 
-    /** Watches the channel, so that a caller that goes away cancels its request. */
-    private static Running track(Channel channel) {
-        Running known = channel.attr(RUNNING).get();
-        if (known != null) {
-            return known;
-        }
-        Running running = new Running();
-        channel.attr(RUNNING).set(running);
-        channel.closeFuture().addListener(closed -> running.cancel());
-        return running;
+    /** Refuses a request that has not reached the decisions. */
+    private void refuse(Context context, RunningRequest running, String requestId, Refusal refusal) {
+        running.end();
+        CallReply reply = refused(refusal, context.getRequest());
+        refusals.accept(requestId, reply.refusal().orElseThrow());
+        send(context, requestId, reply);
+    }
+
+    /** Answers a request that is no HTTP, or whose path or headers are longer than the node reads. */
+    private HttpResponse undecodable(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongFrameException;
+        Refusal refusal = tooLong
+                ? Refusal.of(ResultCode.HEADER_TOO_LARGE, "the path or the headers are too long to be read")
+                : Refusal.of(ResultCode.MALFORMED_REQUEST, "the request is not valid HTTP");
+        String requestId = UUID.randomUUID().toString();
+        refusals.accept(requestId, refusal);
+        byte[] body = describe(requestId, refusal);
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(refusal.code().httpStatus()),
+                Unpooled.wrappedBuffer(body));
+        response.headers()
+                .set(HeaderNames.RESULT, refusal.code().number())
+                .set(HeaderNames.RUN, refusal.code().runState().label())
+                .set(HeaderNames.REQUEST_ID, requestId)
+                .set("Content-Type", "application/json")
+                .set("Content-Length", body.length)
+                .set("Connection", "close");
+        return response;
     }
 
     private Optional<InboundCall> parse(Request request, String requestId, byte[] body, long arrived) {
@@ -175,17 +251,13 @@
             return Optional.empty();
         }
         Headers headers = request.getHeaders();
-        OptionalLong deadline;
-        int attempt;
-        try {
-            String deadlineText = headers.get(HeaderNames.DEADLINE);
-            deadline = deadlineText == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadlineText));
-            String attemptText = headers.get(HeaderNames.ATTEMPT);
-            attempt = attemptText == null ? 1 : Integer.parseInt(attemptText);
-        } catch (NumberFormatException e) {
+        Optional<Long> deadline = deadline(headers);
+        if (headers.contains(HeaderNames.DEADLINE) && deadline.isEmpty()) {
             return Optional.empty();
         }
-        if (attempt < 1 || deadline.orElse(0) < 0) {
+        Optional<Long> attempt = number(headers, HeaderNames.ATTEMPT);
+        if (headers.contains(HeaderNames.ATTEMPT)
+                && attempt.filter(value -> value >= 1).isEmpty()) {
             return Optional.empty();
         }
         String traceParent = headers.get(HeaderNames.TRACE_PARENT);
@@ -198,8 +270,8 @@
                 body,
                 requestId,
                 Optional.ofNullable(headers.get(HeaderNames.TICKET)),
-                deadline,
-                attempt,
+                deadline.map(OptionalLong::of).orElse(OptionalLong.empty()),
+                (int) Math.min(Integer.MAX_VALUE, attempt.orElse(1L)),
                 Optional.ofNullable(headers.get(HeaderNames.CONTEXT)),
                 traceParent == null ? "" : traceParent,
                 fromBackendServer,
@@ -216,8 +288,23 @@
         return found;
     }
 
-    private static int headerBytes(Headers headers) {
-        int bytes = 0;
+    /** Returns the caller's remaining time in milliseconds, if it states one that can be used. */
+    private static Optional<Long> deadline(Headers headers) {
+        return number(headers, HeaderNames.DEADLINE).filter(value -> value >= 0);
+    }
+
+    private static Optional<Long> number(Headers headers, String name) {
+        String text = headers.get(name);
+        try {
+            return text == null ? Optional.empty() : Optional.of(Long.parseLong(text.trim()));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static int headerBytes(Request request) {
+        Headers headers = request.getHeaders();
+        int bytes = request.getRawUri().length();
         for (String name : headers.getNames()) {
             for (String value : headers.getAll(name)) {
                 bytes += name.length() + value.length();
@@ -234,13 +321,16 @@
         return UUID.randomUUID().toString();
     }
 
-    private static CallReply refused(ResultCode code, String detail, Request request) {
+    private static CallReply refused(Refusal refused, Request request) {
         // A request that carries a ticket may have run through another node, so this node cannot say "not run".
+        ResultCode code = refused.code();
         boolean withTicket = request.getHeaders().contains(HeaderNames.TICKET);
         boolean keep = !withTicket || code.runState() != RunState.NOT_RUN;
         Refusal refusal = keep
-                ? Refusal.of(code, detail)
-                : Refusal.of(ResultCode.OUTCOME_UNKNOWN, "this delivery was refused: " + code.number() + " " + detail);
+                ? refused
+                : Refusal.of(
+                        ResultCode.OUTCOME_UNKNOWN,
+                        "this delivery was refused: " + code.number() + " " + refused.detail());
         return new CallReply(
                 refusal.code(),
                 code.httpStatus(),
@@ -254,7 +344,11 @@
     private void send(Context context, String requestId, CallReply reply) {
         Response response = context.getResponse();
         response.status(reply.status());
-        reply.headers().forEach(header -> response.getHeaders().add(header.name(), header.value()));
+        for (Header header : reply.headers()) {
+            if (!header.name().equalsIgnoreCase(HeaderNames.SHED)) {
+                response.getHeaders().add(header.name(), header.value());
+            }
+        }
         response.getHeaders()
                 .set(HeaderNames.RESULT, Integer.toString(reply.code().number()))
                 .set(HeaderNames.RUN, reply.code().runState().label())
@@ -289,15 +383,6 @@
         }
     }
 
-    /** The request that a connection has without a reply, if any. */
-    private static final class Running {
-        private volatile CancelHandle handle;
-
-        void cancel() {
-            CancelHandle current = handle;
-            if (current != null) {
-                current.cancel();
-            }
-        }
-    }
+    /** The body of a request, or null and why it was not read. */
+    private record Body(byte[] bytes, Refusal refusal) {}
 }
--- a/node/src/main/java/org/plantainshunt/http/HeaderNames.java
+++ b/node/src/main/java/org/plantainshunt/http/HeaderNames.java
@@ -14,6 +14,8 @@
     static final String RUN = "Plantainshunt-Run";
     static final String TRACE_PARENT = "traceparent";
     static final String RETRY_AFTER = "Retry-After";
+    /** By which a backend server says that it shed a request; not for callers. */
+    static final String SHED = "Plantainshunt-Shed";
 
     private static final String OWN_PREFIX = "plantainshunt-";
 
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/HttpChannels.java
@@ -0,0 +1,105 @@
+package org.plantainshunt.http;
+
+import java.net.SocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+import io.netty.bootstrap.ChannelInitializerExtension;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpServerCodec;
+
+/**
+ * Puts the guards of this package into the HTTP connections that Ratpack makes.
+ *
+ * <p>Ratpack 1.9 gives no access to its pipelines, starts pipelined requests at once and in parallel, takes a chunk
+ * that cannot be decoded for the end of a body, and answers malformed requests without a result code. Netty calls this
+ * extension for each connection of the process. Safe for use by any thread.
+ */
+public final class HttpChannels extends ChannelInitializerExtension {
+    private static final String GUARD = "plantainshunt-guard";
+    private static final Map<SocketAddress, Function<Throwable, HttpResponse>> REFUSALS = new ConcurrentHashMap<>();
+
+    /** Makes Netty call the extension; must come before the first connection or server of the process. */
+    public static void enable() {
+        System.setProperty(EXTENSIONS_SYSTEM_PROPERTY, "serviceload");
+    }
+
+    /** Guards the connections to a listening address; the function answers requests that cannot be decoded. */
+    static void guard(SocketAddress listening, Function<Throwable, HttpResponse> refusal) {
+        REFUSALS.put(listening, refusal);
+    }
+
+    static void forget(SocketAddress listening) {
+        REFUSALS.remove(listening);
+    }
+
+    @Override
+    public void postInitializeServerChildChannel(Channel channel) {
+        channel.pipeline().addFirst(new ServerInstaller());
+    }
+
+    @Override
+    public void postInitializeClientChannel(Channel channel) {
+        channel.pipeline().addFirst(new ClientInstaller());
+    }
+
+    /** Adds the guard of a caller's connection once Ratpack has built the pipeline. */
+    private static final class ServerInstaller extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext context) throws Exception {
+            ChannelPipeline pipeline = context.pipeline();
+            SocketAddress listening = context.channel().parent().localAddress();
+            Optional<String> last = lastCodec(pipeline);
+            if (REFUSALS.containsKey(listening) && last.isPresent()) {
+                pipeline.addAfter(last.get(), GUARD, new RequestGuard(REFUSALS.get(listening)));
+            }
+            super.channelActive(context);
+            pipeline.remove(this);
+        }
+
+        private static Optional<String> lastCodec(ChannelPipeline pipeline) {
+            Optional<String> last = Optional.empty();
+            for (Map.Entry<String, ChannelHandler> entry : pipeline) {
+                ChannelHandler handler = entry.getValue();
+                if (handler instanceof HttpServerCodec
+                        || handler instanceof HttpRequestDecoder
+                        || handler instanceof HttpResponseEncoder) {
+                    last = Optional.of(entry.getKey());
+                }
+            }
+            return last;
+        }
+    }
+
+    /** Adds a guard behind the codec that Ratpack adds for each exchange. */
+    private static final class ClientInstaller extends ChannelInboundHandlerAdapter {
+        private HttpClientCodec guarded;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+            ChannelPipeline pipeline = context.pipeline();
+            ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
+            if (codec == null) {
+                // A connection of another protocol, which never gets this codec.
+                pipeline.remove(this);
+            } else if (codec.handler() != guarded) {
+                guarded = (HttpClientCodec) codec.handler();
+                if (pipeline.get(GUARD) != null) {
+                    pipeline.remove(GUARD);
+                }
+                pipeline.addAfter(codec.name(), GUARD, new AnswerGuard());
+            }
+            context.fireChannelRead(message);
+        }
+    }
+}
--- a/node/src/main/java/org/plantainshunt/http/RatpackBackendServer.java
+++ b/node/src/main/java/org/plantainshunt/http/RatpackBackendServer.java
@@ -8,26 +8,31 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.timeout.ReadTimeoutException;
 import org.plantainshunt.call.BackendServer;
 import org.plantainshunt.protocol.Header;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ratpack.exec.ExecController;
+import ratpack.exec.Execution;
+import ratpack.exec.Promise;
+import ratpack.http.Headers;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.HttpClientReadTimeoutException;
-import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
+import ratpack.http.client.StreamedResponse;
 
 /**
  * Hands requests to the backend server over HTTP.
  *
- * <p>A request is tried once; only a connection that could not be made counts as "not sent". Safe for use by any
- * thread.
+ * <p>A request is tried once; only a connection that could not be made counts as "not sent". Answers are read as a
+ * stream, because an answer that the HTTP library collects always has a length, even if the server stated none. Safe
+ * for use by any thread.
  */
 public final class RatpackBackendServer implements BackendServer, AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger(RatpackBackendServer.class);
@@ -40,6 +45,7 @@
     private final String base;
     private final ExecController executions;
     private final HttpClient client;
+    private final LongSupplier largestAnswerBytes;
     private final LongSupplier clock;
 
     /**
@@ -48,7 +54,7 @@
      * @param address the backend server's address
      * @param executions runs the exchanges
      * @param connections the largest number of open connections
-     * @param largestAnswerBytes the largest body of an answer, in bytes
+     * @param largestAnswerBytes the size limit of an answer's body, in bytes
      * @param clock a monotonic clock in nanoseconds
      * @throws IOException if the client cannot be set up
      */
@@ -56,18 +62,18 @@
             InetSocketAddress address,
             ExecController executions,
             int connections,
-            int largestAnswerBytes,
+            LongSupplier largestAnswerBytes,
             LongSupplier clock)
             throws IOException {
         this.base = "http://" + address.getAddress().getHostAddress() + ":" + address.getPort();
         this.executions = executions;
+        this.largestAnswerBytes = largestAnswerBytes;
         this.clock = clock;
         try {
             this.client = HttpClient.of(spec -> spec.execController(executions)
                     .poolSize(Math.max(1, connections / executions.getNumThreads()))
                     .idleTimeout(IDLE_TIMEOUT)
-                    .connectTimeout(CONNECT_TIMEOUT)
-                    .maxContentLength(largestAnswerBytes));
+                    .connectTimeout(CONNECT_TIMEOUT));
         } catch (Exception e) {
             throw new IOException("cannot create the HTTP client for the backend server", e);
         }
@@ -104,7 +110,30 @@
             return;
         }
         URI uri = URI.create(base + "/" + request.kind() + request.path());
-        client.request(uri, spec -> fill(spec, request, left)).then(answer -> received(request, answer, listener));
+        client.requestStream(uri, spec -> fill(spec, request, left))
+                .flatMap(answer -> collect(request, answer))
+                .then(collected -> collected.tell(listener));
+    }
+
+    private Promise<AnswerCollector.Result> collect(Handover request, StreamedResponse answer) {
+        Headers headers = answer.getHeaders();
+        int status = answer.getStatusCode();
+        boolean withoutBody = status == NO_CONTENT
+                || status == NOT_MODIFIED
+                || request.method().equalsIgnoreCase("HEAD");
+        OptionalLong length = length(headers);
+        // An answer that ends with its connection cannot be told from one that was cut, so a length is required.
+        boolean whole = withoutBody || length.isPresent() || isChunked(headers);
+        AnswerCollector.Head head =
+                new AnswerCollector.Head(status, passedOn(headers), whole, withoutBody ? OptionalLong.empty() : length);
+        long left = request.deadline() + CANCEL_GRACE - clock.getAsLong();
+        return Promise.async(downstream -> answer.getBody()
+                .subscribe(new AnswerCollector(
+                        head,
+                        largestAnswerBytes.getAsLong(),
+                        Execution.current().getEventLoop(),
+                        left,
+                        downstream::success)));
     }
 
     private void fill(RequestSpec spec, Handover request, long left) {
@@ -128,46 +157,41 @@
         }
     }
 
-    private void received(Handover request, ReceivedResponse answer, Listener listener) {
-        byte[] body = answer.getBody().getBytes();
-        if (!isWhole(request, answer, body)) {
-            listener.failed(FailureStage.ANSWER_CUT, "the answer states no length or ended before it");
-            return;
-        }
-        List<Header> headers = new ArrayList<>();
-        answer.getHeaders().getNames().forEach(name -> {
-            if (HeaderNames.passedOn(name)) {
-                answer.getHeaders().getAll(name).forEach(value -> headers.add(new Header(name, value)));
+    private static List<Header> passedOn(Headers headers) {
+        List<Header> found = new ArrayList<>();
+        for (String name : headers.getNames()) {
+            if (HeaderNames.passedOn(name) || name.equalsIgnoreCase(HeaderNames.SHED)) {
+                headers.getAll(name).forEach(value -> found.add(new Header(name, value)));
             }
-        });
-        listener.answered(answer.getStatusCode(), headers, body);
+        }
+        return found;
     }
 
-    /** An answer that ends with its connection cannot be told from one that was cut, so a length is required. */
-    private static boolean isWhole(Handover request, ReceivedResponse answer, byte[] body) {
-        int status = answer.getStatusCode();
-        if (status == NO_CONTENT || status == NOT_MODIFIED || request.method().equalsIgnoreCase("HEAD")) {
-            return true;
-        }
-        String length = answer.getHeaders().get("content-length");
-        if (length != null) {
-            return length.trim().equals(Integer.toString(body.length));
+    private static OptionalLong length(Headers headers) {
+        String text = headers.get("content-length");
+        try {
+            return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text.trim()));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
         }
-        String encoding = answer.getHeaders().get("transfer-encoding");
+    }
+
+    private static boolean isChunked(Headers headers) {
+        String encoding = headers.get("transfer-encoding");
         return encoding != null && encoding.toLowerCase(Locale.ROOT).contains("chunked");
     }
 
-    private static FailureStage stage(Throwable error) {
+    static FailureStage stage(Throwable error) {
         for (Throwable cause = error; cause != null; cause = cause.getCause()) {
             if (cause instanceof ConnectException) {
                 return FailureStage.BEFORE_SENT;
             }
+            if (cause instanceof DecoderException) {
+                return FailureStage.ANSWER_CUT;
+            }
             if (cause instanceof ReadTimeoutException || cause instanceof HttpClientReadTimeoutException) {
                 return FailureStage.TIMED_OUT;
             }
-            if (cause instanceof TooLongFrameException) {
-                return FailureStage.ANSWER_TOO_LARGE;
-            }
         }
         return FailureStage.AFTER_SENT;
     }
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/RequestGuard.java
@@ -0,0 +1,158 @@
+package org.plantainshunt.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Lets the requests of a connection through one at a time, and answers those that cannot be decoded.
+ *
+ * <p>A pipelined request waits until the one before it has its whole answer, so answers keep the order of their
+ * requests. While requests wait, nothing more is read from the connection. Confined to the connection's event loop.
+ */
+final class RequestGuard extends ChannelDuplexHandler {
+    private static final long LINGER_MILLISECONDS = 1000;
+
+    private final Function<Throwable, HttpResponse> refusal;
+    private final Deque<Object> held = new ArrayDeque<>();
+    private boolean receiving;
+    private boolean answering;
+    private boolean passing;
+    private boolean readWanted;
+    private boolean closing;
+    private boolean lingering;
+
+    RequestGuard(Function<Throwable, HttpResponse> refusal) {
+        this.refusal = refusal;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (lingering) {
+            ReferenceCountUtil.release(message);
+            if (message instanceof LastHttpContent) {
+                context.close();
+            }
+            return;
+        }
+        held.add(message);
+        passOn(context);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (lingering) {
+            context.read();
+        }
+        context.fireChannelReadComplete();
+    }
+
+    /**
+     * Closes, but reads on for a while if the request has not arrived entirely: closing while bytes are unread resets
+     * the connection, and the caller would lose the refusal that was written before.
+     */
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        boolean unread = receiving && !answering && context.channel().isActive();
+        if (!unread || lingering || !(context.channel() instanceof SocketChannel socket)) {
+            context.close(promise);
+            return;
+        }
+        lingering = true;
+        socket.shutdownOutput();
+        context.executor().schedule(() -> context.close(promise), LINGER_MILLISECONDS, TimeUnit.MILLISECONDS);
+        context.read();
+    }
+
+    @Override
+    public void read(ChannelHandlerContext context) {
+        if (held.isEmpty()) {
+            context.read();
+        } else {
+            readWanted = true;
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        boolean informational = message instanceof HttpResponse response
+                && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (message instanceof LastHttpContent && !informational) {
+            promise.unvoid().addListener(written -> answered(context));
+        }
+        context.write(message, promise);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        closing = true;
+        held.forEach(ReferenceCountUtil::release);
+        held.clear();
+        context.fireChannelInactive();
+    }
+
+    private void answered(ChannelHandlerContext context) {
+        answering = false;
+        passOn(context);
+        if (held.isEmpty() && readWanted) {
+            readWanted = false;
+            context.read();
+        }
+    }
+
+    private void passOn(ChannelHandlerContext context) {
+        if (passing) {
+            return;
+        }
+        passing = true;
+        while (!held.isEmpty() && !closing && mayPass(held.peek())) {
+            pass(context, held.poll());
+        }
+        passing = false;
+    }
+
+    private boolean mayPass(Object message) {
+        return !(message instanceof HttpRequest) || !answering && !receiving;
+    }
+
+    private void pass(ChannelHandlerContext context, Object message) {
+        if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+            Throwable cause = part.decoderResult().cause();
+            ReferenceCountUtil.release(message);
+            refuse(context, cause);
+            return;
+        }
+        if (message instanceof HttpRequest) {
+            answering = true;
+            receiving = true;
+        }
+        if (message instanceof LastHttpContent) {
+            receiving = false;
+        }
+        context.fireChannelRead(message);
+    }
+
+    /** Answers and closes, since what follows on the connection cannot be told apart any more. */
+    private void refuse(ChannelHandlerContext context, Throwable cause) {
+        closing = true;
+        if (receiving && !answering) {
+            context.close();
+            return;
+        }
+        receiving = false;
+        context.writeAndFlush(refusal.apply(cause)).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -21,6 +21,7 @@
 import org.plantainshunt.http.AdminServer;
 import org.plantainshunt.http.CallerServer;
 import org.plantainshunt.http.HealthReader;
+import org.plantainshunt.http.HttpChannels;
 import org.plantainshunt.http.MetricsReport;
 import org.plantainshunt.http.RatpackBackendServer;
 import org.plantainshunt.http.RatpackPlatform;
@@ -85,6 +86,7 @@
      * @throws Exception if an address cannot be bound or a file cannot be written
      */
     public Node(NodeSettings settings) throws Exception {
+        HttpChannels.enable();
         this.settings = settings;
         RandomGenerator random = new SecureRandom();
         incarnation = random.nextLong(1, Long.MAX_VALUE);
@@ -116,7 +118,7 @@
                 settings.backendServer(),
                 executions(callers.server()),
                 BACKEND_CONNECTIONS,
-                LARGEST_BODY_BYTES,
+                this::largestAnswer,
                 System::nanoTime);
         decisions = new Decisions(
                 new Decisions.Identity(settings.name(), settings.service(), settings.dataCentre(), incarnation),
@@ -236,7 +238,8 @@
                 fromBackendServer,
                 (call, reply, cancellation) -> decisions().call(call, reply, cancellation),
                 this::largestBody,
-                System::nanoTime);
+                System::nanoTime,
+                telemetry::refusedUnread);
     }
 
     private long largestBody() {
@@ -246,6 +249,13 @@
                 .orElse(DEFAULT_BODY_BYTES);
     }
 
+    private long largestAnswer() {
+        return control.configuration()
+                .current()
+                .map(document -> document.policy().largestAnswer())
+                .orElse(DEFAULT_BODY_BYTES);
+    }
+
     private void leave(boolean now) {
         if (leaving == now) {
             return;
@@ -284,6 +294,7 @@
         gauge("serving.limit", () -> snapshot().limit());
         gauge("serving.level", () -> snapshot().level());
         gauge("serving.tickets", () -> snapshot().tickets());
+        gauge("callers.open", () -> callers.openRequests() + outbound.openRequests());
         gauge("entry.open", () -> snapshot().entered());
         gauge("decisions.ring-fill", () -> decisions.fill());
         gauge("telemetry.ring-fill", telemetry::fill);
--- a/node/src/main/java/org/plantainshunt/node/WarmUp.java
+++ b/node/src/main/java/org/plantainshunt/node/WarmUp.java
@@ -22,6 +22,7 @@
 import org.plantainshunt.configuration.InvalidVmListException;
 import org.plantainshunt.configuration.VmList;
 import org.plantainshunt.http.CallerServer;
+import org.plantainshunt.http.HttpChannels;
 import org.plantainshunt.http.RatpackBackendServer;
 import org.plantainshunt.protocol.InnerEndpoint;
 import org.plantainshunt.protocol.InnerSettings;
@@ -62,7 +63,11 @@
         parts.push(answers::stop);
         executions = answers.getRegistry().orElseThrow().get(ExecController.class);
         RatpackBackendServer backendServer = keep(new RatpackBackendServer(
-                new InetSocketAddress(loopback, answers.getBindPort()), executions, 16, BODY_BYTES, System::nanoTime));
+                new InetSocketAddress(loopback, answers.getBindPort()),
+                executions,
+                16,
+                () -> BODY_BYTES,
+                System::nanoTime));
         Side serving = new Side("warm-up-serving", backendServer, random, telemetry);
         Side entry = new Side("warm-up-entry", backendServer, random, telemetry);
         int innerPort = serving.endpoint.listen(loopback.getHostAddress(), 0);
@@ -79,13 +84,15 @@
                 false,
                 (call, reply, cancellation) -> entry.decisions.call(call, reply, cancellation),
                 () -> BODY_BYTES,
-                System::nanoTime));
+                System::nanoTime,
+                telemetry::refusedUnread));
         port = callers.server().getBindPort();
         client = keep(HttpClient.of(spec -> spec.execController(executions).poolSize(CONCURRENT_CALLS)));
     }
 
     /** Runs the calls for a bounded time; a failure is logged and does not keep the node from starting. */
     static void run() {
+        HttpChannels.enable();
         long start = System.nanoTime();
         try (WarmUp warmUp = new WarmUp()) {
             int answered = warmUp.call();
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -70,10 +70,16 @@
         entryTime.update(now - call.arrived(), TimeUnit.NANOSECONDS);
         retries.inc(reply.retries());
         if (reply.refusal().isPresent() && reply.code() != ResultCode.TICKET_REQUIRED) {
-            logRefusal(call, reply, reply.refusal().get());
+            log(call.requestId(), call.service(), call.kind(), reply.refusal().get(), reply.retries());
         }
     }
 
+    /** Takes a request that was refused before its service and kind were read. */
+    public void refusedUnread(String requestId, Refusal refusal) {
+        registry.counter("entry.result." + refusal.code().number()).inc();
+        log(requestId, "", "", refusal, 0);
+    }
+
     /** Returns the share of the ring of log lines that is in use, 0 to 1. */
     public double fill() {
         return duty.fill();
@@ -84,17 +90,17 @@
         duty.close();
     }
 
-    private void logRefusal(InboundCall call, CallReply reply, Refusal refusal) {
+    private void log(String requestId, String service, String kind, Refusal refusal, int retries) {
         boolean taken = duty.offer(() -> LOGGER.info(
                 "request refused",
-                StructuredArguments.kv("requestId", call.requestId()),
-                StructuredArguments.kv("service", call.service()),
-                StructuredArguments.kv("kind", call.kind()),
+                StructuredArguments.kv("requestId", requestId),
+                StructuredArguments.kv("service", service),
+                StructuredArguments.kv("kind", kind),
                 StructuredArguments.kv("code", refusal.code().number()),
                 StructuredArguments.kv("name", refusal.code().name()),
                 StructuredArguments.kv("run", refusal.code().runState().label()),
                 StructuredArguments.kv("detail", refusal.detail()),
-                StructuredArguments.kv("retries", reply.retries())));
+                StructuredArguments.kv("retries", retries)));
         if (!taken) {
             droppedLines.inc();
         }
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/node/ManyCallersTest.java
@@ -0,0 +1,78 @@
+package org.plantainshunt.node;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards the memory of the node against many callers at once: their number and their bytes are bounded. */
+class ManyCallersTest {
+    private static NodeUnderTest fixture;
+
+    @BeforeAll
+    static void start() throws Exception {
+        fixture = new NodeUnderTest((request, out) -> NodeUnderTest.answer(out, "whole"), Optional.empty());
+    }
+
+    @AfterAll
+    static void stop() throws IOException {
+        fixture.close();
+    }
+
+    @Test
+    void callersBeyondTheLargestNumberAreRefused() throws Exception {
+        int beyond = 50;
+        Map<Integer, Integer> results = callAtOnce(beyond, 2048 + beyond, 10, 5);
+        assertEquals(Map.of(1108, beyond), results);
+    }
+
+    @Test
+    void bodiesBeyondTheLargestSumAreRefused() throws Exception {
+        int size = 64 * 1024;
+        int fit = 16 * 1024 * 1024 / (size - 1);
+        Map<Integer, Integer> results = callAtOnce(20, fit + 20, size, size - 1);
+        assertEquals(Map.of(1108, 20), results);
+    }
+
+    /** Opens requests that lack a part of their body, and returns the results of those that were refused. */
+    private static Map<Integer, Integer> callAtOnce(int refused, int count, int length, int sent) throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        Map<Integer, Integer> results = new HashMap<>();
+        String request = "POST /front/wait/x HTTP/1.1\r\nHost: node\r\nContent-Length: " + length + "\r\n\r\n"
+                + "x".repeat(sent);
+        try {
+            for (int i = 0; i < count; i++) {
+                callers.add(fixture.caller());
+                callers.get(i).send(request);
+            }
+            NodeUnderTest.await(() -> answered(callers) >= refused);
+            Thread.sleep(200);
+            for (RawCaller caller : callers) {
+                caller.readIfAnswered().ifPresent(answer -> results.merge(answer.result(), 1, Integer::sum));
+            }
+        } finally {
+            for (RawCaller caller : callers) {
+                caller.close();
+            }
+        }
+        NodeUnderTest.await(() -> fixture.openRequests() == 0);
+        assertEquals(1000, fixture.call(RawCaller.post("/front/browse/ok", "")).result());
+        return results;
+    }
+
+    private static long answered(List<RawCaller> callers) throws IOException {
+        long count = 0;
+        for (RawCaller caller : callers) {
+            count += caller.isAnswered() ? 1 : 0;
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/node/RawCaller.java
@@ -0,0 +1,109 @@
+package org.plantainshunt.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** A caller that writes its requests byte by byte, so that it can send what no HTTP client would. */
+final class RawCaller implements AutoCloseable {
+    private static final int TIMEOUT_MILLISECONDS = 10_000;
+
+    private final Socket socket = new Socket();
+
+    RawCaller(InetSocketAddress address) throws IOException {
+        socket.connect(address, TIMEOUT_MILLISECONDS);
+        socket.setSoTimeout(TIMEOUT_MILLISECONDS);
+        socket.setTcpNoDelay(true);
+    }
+
+    /** Sends one request on a connection of its own and returns its answer. */
+    static Answer call(InetSocketAddress address, String request) throws IOException {
+        try (RawCaller caller = new RawCaller(address)) {
+            return caller.send(request).read();
+        }
+    }
+
+    /** Returns a POST request; each further line is a header. */
+    static String post(String path, String body, String... headers) {
+        return "POST " + path + " HTTP/1.1\r\nHost: node\r\nContent-Length: " + body.length() + "\r\n"
+                + (headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n") + "\r\n" + body;
+    }
+
+    RawCaller send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return this;
+    }
+
+    Answer read() throws IOException {
+        InputStream in = socket.getInputStream();
+        String line = FakeHttpServer.line(in);
+        if (line.isEmpty()) {
+            throw new EOFException("the node closed the connection without an answer");
+        }
+        Map<String, String> headers = FakeHttpServer.headers(in);
+        String length = headers.get("content-length");
+        byte[] body = length == null ? chunks(in, headers) : in.readNBytes(Integer.parseInt(length));
+        return new Answer(Integer.parseInt(line.split(" ")[1]), headers, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    boolean isAnswered() throws IOException {
+        return socket.getInputStream().available() > 0;
+    }
+
+    /** Returns the answer if the node has begun one. */
+    Optional<Answer> readIfAnswered() throws IOException {
+        return isAnswered() ? Optional.of(read()) : Optional.empty();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private static byte[] chunks(InputStream in, Map<String, String> headers) throws IOException {
+        if (!headers.getOrDefault("transfer-encoding", "").equals("chunked")) {
+            throw new IOException("the answer states no length: " + headers);
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (int size = Integer.parseInt(FakeHttpServer.line(in), 16);
+                size > 0;
+                size = Integer.parseInt(FakeHttpServer.line(in), 16)) {
+            body.write(in.readNBytes(size));
+            FakeHttpServer.line(in);
+        }
+        FakeHttpServer.line(in);
+        return body.toByteArray();
+    }
+
+    /** An answer of the node. */
+    record Answer(int status, Map<String, String> headers, String body) {
+        int result() {
+            return Integer.parseInt(headers.getOrDefault("plantainshunt-result", "0"));
+        }
+
+        String run() {
+            return headers.getOrDefault("plantainshunt-run", "");
+        }
+
+        String requestId() {
+            return headers.getOrDefault("plantainshunt-request-id", "");
+        }
+
+        String ticket() {
+            return headers.getOrDefault("plantainshunt-ticket", "");
+        }
+
+        JsonNode json() throws IOException {
+            return new ObjectMapper().readTree(body);
+        }
+    }
+}
