Connect to other nodes from the inner address

Cause: a VM with several addresses used any of them, so that rules between VMs, and the relays of the tests, did not see where a connection came from.

--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -56,6 +56,9 @@
     /** Time for peers to take what was sent before the endpoint is closed, in seconds. */
     private static final long CLOSE_SECONDS = 5;
 
+    /** A VM with several addresses speaks to other nodes from the one they know; null before it listens. */
+    private volatile InetSocketAddress outgoingAddress;
+
     private final EndpointContext context;
     private final EventLoopGroup eventLoops;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
@@ -100,7 +103,9 @@
             throw new IOException("cannot listen on " + address + ":" + port, bound.cause());
         }
         channels.add(bound.channel());
-        return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        InetSocketAddress local = (InetSocketAddress) bound.channel().localAddress();
+        outgoingAddress = new InetSocketAddress(local.getAddress(), 0);
+        return local.getPort();
     }
 
     /**
@@ -131,7 +136,7 @@
                         initializeConnecting(channel, result);
                     }
                 });
-        bootstrap.connect(new InetSocketAddress(address, port)).addListener(future -> {
+        bootstrap.connect(new InetSocketAddress(address, port), outgoingAddress).addListener(future -> {
             if (!future.isSuccess()) {
                 String message = "no connection with " + address + ":" + port + ": "
                         + future.cause().getMessage();
