--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -223,7 +223,9 @@
         level.slotsUsed(running, limit.current(), now);
         refuseLate(now);
         waiting.observe(now, targetDelay);
-        level.update(priorityClass -> waiting.overloaded(priorityClass, now), now);
+        if (level.due(now)) {
+            level.update(priorityClass -> waiting.overloaded(priorityClass, now), now);
+        }
     }
 
     /** Refuses the waiting calls that can no longer meet their deadlines, so that they take no room. */
