--- a/core/src/main/java/org/plantainshunt/membership/DocumentGossip.java
+++ b/core/src/main/java/org/plantainshunt/membership/DocumentGossip.java
@@ -155,6 +155,15 @@
         }
     }
 
+    /**
+     * Notes that a peer could not be reached, so that another takes its place among the partners.
+     *
+     * <p>Without this, a node whose partners happen to be mostly dead hears of a document seconds after the others.
+     */
+    public void unreachable(String peer) {
+        partners.remove(peer);
+    }
+
     /** Returns the version in force, or empty before the first document. */
     public Optional<DocumentVersion> current() {
         return current;
--- a/core/src/main/java/org/plantainshunt/routing/LinkBudget.java
+++ b/core/src/main/java/org/plantainshunt/routing/LinkBudget.java
@@ -77,12 +77,14 @@
         return true;
     }
 
+    /** Fills the half of the important classes first, then repays the debt, then fills the rest. */
     private void fill(long now) {
         if (filledAt != Long.MIN_VALUE && now > filledAt) {
-            tokens = Math.min(burst, tokens + bytesPerSecond * (now - filledAt) / NANOSECONDS);
-            double repaid = Math.max(0, Math.min(lowerDebt, tokens - burst / 2));
-            tokens -= repaid;
+            double refill = bytesPerSecond * (now - filledAt) / NANOSECONDS;
+            double reserve = Math.max(0, Math.min(refill, burst / 2 - tokens));
+            double repaid = Math.min(lowerDebt, refill - reserve);
             lowerDebt -= repaid;
+            tokens = Math.min(burst, tokens + refill - repaid);
         }
         filledAt = now;
     }
--- a/core/src/test/java/org/plantainshunt/membership/GossipModel.java
+++ b/core/src/test/java/org/plantainshunt/membership/GossipModel.java
@@ -23,6 +23,8 @@
     private static final int DOCUMENT_BYTES = 6_500;
     private static final int CONNECTION_BYTES = 1_000;
 
+    private static final long CONNECT_TIMEOUT = 3 * SECOND;
+
     final DocumentVersion[] replicas = new DocumentVersion[3];
     private final List<Node> nodes = new ArrayList<>();
     private final List<String> names;
@@ -189,6 +191,7 @@
             bytes += size + connection;
             boolean cut = index < splitAt != to.index < splitAt;
             if (to.dead || cut) {
+                after(CONNECT_TIMEOUT, () -> gossip.unreachable(names.get(to.index)));
                 return;
             }
             connected.set(to.index);
