--- a/node/src/main/java/org/plantainshunt/node/NodeMain.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeMain.java
@@ -21,6 +21,9 @@
 
     /** Runs a node until it is told to stop (SIGTERM). */
     public static void main(String[] arguments) {
+        JavaLogging.toLog();
+        Thread.setDefaultUncaughtExceptionHandler(
+                (thread, error) -> LOGGER.error("thread {} failed", thread.getName(), error));
         ArgumentParser parser = ArgumentParsers.newFor("plantainshunt-node")
                 .build()
                 .defaultHelp(true)
