Keep Ratpack from stopping its servers at SIGTERM

Ratpack registers a shutdown hook by default, which ran beside the node's own and closed connections with requests in flight: the test's caller met the end of the stream without an answer, and the control duty logged rejected tasks.

--- a/node/src/main/java/org/plantainshunt/http/AdminServer.java
+++ b/node/src/main/java/org/plantainshunt/http/AdminServer.java
@@ -37,7 +37,10 @@
         server = RatpackServer.start(spec -> spec.serverConfig(config -> config.address(address.getAddress())
                         .port(address.getPort())
                         .threads(1)
-                        .development(false))
+                        .development(false)
+                        // Ratpack's own hook would cut the requests in flight at SIGTERM; the node stops its servers
+                        // itself.
+                        .registerShutdownHook(false))
                 .handlers(chain -> chain.get("status", context -> json(context, status.get()))
                         .get("metrics", context -> json(context, metrics.json()))
                         .get("metrics.txt", context -> context.getResponse().send("text/plain", metrics.text()))
--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -105,6 +105,9 @@
                         .port(address.getPort())
                         .threads(threads)
                         .development(false)
+                        // Ratpack's own hook would cut the requests in flight at SIGTERM; the node stops its servers
+                        // itself.
+                        .registerShutdownHook(false)
                         .maxInitialLineLength(LARGEST_HEADERS_READ_BYTES)
                         .maxHeaderSize(LARGEST_HEADERS_READ_BYTES))
                 .handlers(chain -> chain.all(this::handle)));
--- a/node/src/main/java/org/plantainshunt/node/WarmUp.java
+++ b/node/src/main/java/org/plantainshunt/node/WarmUp.java
@@ -57,8 +57,11 @@
         InetAddress loopback = InetAddress.getLoopbackAddress();
         RandomGenerator random = RandomGenerator.getDefault();
         Telemetry telemetry = keep(new Telemetry(new MetricRegistry()));
-        RatpackServer answers = RatpackServer.start(spec -> spec.serverConfig(
-                        config -> config.address(loopback).port(0).threads(1).development(false))
+        RatpackServer answers = RatpackServer.start(spec -> spec.serverConfig(config -> config.address(loopback)
+                        .port(0)
+                        .threads(1)
+                        .development(false)
+                        .registerShutdownHook(false))
                 .handlers(chain -> chain.all(context -> context.getResponse().send("warm"))));
         parts.push(answers::stop);
         executions = answers.getRegistry().orElseThrow().get(ExecController.class);
--- a/node/src/test/java/org/plantainshunt/node/NodeUnderTest.java
+++ b/node/src/test/java/org/plantainshunt/node/NodeUnderTest.java
@@ -63,15 +63,9 @@
     final Node node;
 
     NodeUnderTest(FakeHttpServer.Answerer answerer, Optional<Path> spans) throws Exception {
-        backendServer = new FakeHttpServer((request, out) -> {
-            if (request.path().equals("/plantainshunt/health")) {
-                return answer(out, "serving");
-            }
-            return answerer.answer(request, out);
-        });
         InetSocketAddress inner = freeAddress();
-        platform = new FakeHttpServer((request, out) ->
-                answer(out, request.path().equals("/vm-list") ? vmList(inner.getPort()) : CONFIGURATION));
+        backendServer = backendServer(answerer);
+        platform = platform(inner);
         settings = new NodeSettings(
                 "front-1",
                 "one-1",
@@ -90,6 +84,22 @@
         await(() -> call(RawCaller.post("/front/browse/ok", "")).result() == 1000);
     }
 
+    /** Returns a backend server that is well. */
+    static FakeHttpServer backendServer(FakeHttpServer.Answerer answerer) throws IOException {
+        return new FakeHttpServer((request, out) -> {
+            if (request.path().equals("/plantainshunt/health")) {
+                return answer(out, "serving");
+            }
+            return answerer.answer(request, out);
+        });
+    }
+
+    /** Returns a platform that lists one VM. */
+    static FakeHttpServer platform(InetSocketAddress inner) throws IOException {
+        return new FakeHttpServer((request, out) ->
+                answer(out, request.path().equals("/vm-list") ? vmList(inner.getPort()) : CONFIGURATION));
+    }
+
     RawCaller.Answer call(String request) throws IOException {
         return RawCaller.call(settings.callerAddress(), request);
     }
