--- a/standins/src/main/java/org/plantainshunt/standins/RelayRule.java
+++ b/standins/src/main/java/org/plantainshunt/standins/RelayRule.java
@@ -5,11 +5,12 @@
  *
  * <p>Immutable and safe for use by any thread.
  *
- * @param from prefix of the addresses that connect, for example {@code 127.5.1.}; an empty text matches all
+ * @param from prefix of the addresses that connect, written with a colon at their end; {@code 127.5.1.} matches a data
+ *     centre of a fleet, {@code 127.5.1.1:} a single address, and an empty text all
  * @param to prefix of the targets as IP:PORT; an empty text matches all
  * @param mode what happens to connections and bytes
  * @param latencyMilliseconds added to the way of each byte, each way
- * @param bitsPerSecond bandwidth each way, shared by all connections under the rule; 0 sets no bound
+ * @param bitsPerSecond bandwidth each way, shared with the rule of the opposite scope; 0 sets no bound
  */
 record RelayRule(String from, String to, Mode mode, long latencyMilliseconds, long bitsPerSecond) {
     /** What happens to connections and bytes. */
