Wait for a seed's configuration, not for any of its documents

A seed's VM list that arrived first ended the wait of a starting node, so a stale platform's configuration came into force.

FleetControl now takes a TaskRunner, so that its tests run on a virtual clock with fakes: stale platform, platform down with seeds that answer, invalid documents, peers ahead and behind, and documents over 1 MiB, packed, unpacked or cut. Duty keeps its bounded offer.

--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -18,7 +18,7 @@
 import org.plantainshunt.configuration.InvalidVmListException;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.configuration.VmList;
-import org.plantainshunt.duty.Duty;
+import org.plantainshunt.duty.TaskRunner;
 import org.plantainshunt.membership.DocumentGossip;
 import org.plantainshunt.protocol.Announcement;
 import org.plantainshunt.protocol.DocumentMessage;
@@ -50,7 +50,7 @@
     private final List<InetSocketAddress> seeds;
     private final long startedAt;
     private final Neighbours neighbours;
-    private Duty duty;
+    private TaskRunner duty;
     private Optional<VmList> vmList = Optional.empty();
     private boolean seedAnswered;
     private boolean inForce;
@@ -81,7 +81,7 @@
     }
 
     /** Names the duty whose thread runs this control. */
-    public void runOn(Duty owner) {
+    public void runOn(TaskRunner owner) {
         this.duty = owner;
     }
 
@@ -120,10 +120,7 @@
 
     /** Takes a document from a peer; call it on any thread. */
     public void received(InnerConnection from, DocumentMessage message) {
-        duty.offer(() -> {
-            seedAnswered = true;
-            DocumentKind.ofLabel(message.documentKind()).ifPresent(kind -> unpack(from, kind, message));
-        });
+        duty.offer(() -> DocumentKind.ofLabel(message.documentKind()).ifPresent(kind -> unpack(from, kind, message)));
     }
 
     /** Takes the document number that a call carries; call it on any thread. */
@@ -284,7 +281,10 @@
 
     private void unpack(InnerConnection from, DocumentKind kind, DocumentMessage message) {
         try {
-            offer(kind, Compression.expand(message.compressed()), from.peerVm());
+            byte[] bytes = Compression.expand(message.compressed());
+            // A VM list says nothing of whether the platform's configuration is stale.
+            seedAnswered |= kind == DocumentKind.CONFIGURATION;
+            offer(kind, bytes, from.peerVm());
         } catch (IOException e) {
             LOGGER.warn("node {} sent a document that cannot be unpacked: {}", from.peerVm(), e.getMessage());
         }
--- a/node/src/main/java/org/plantainshunt/duty/Duty.java
+++ b/node/src/main/java/org/plantainshunt/duty/Duty.java
@@ -54,6 +54,7 @@
     }
 
     /** Adds new work and returns true, or returns false if the ring is half full. */
+    @Override
     public boolean offer(Runnable task) {
         if (ring.remainingCapacity() <= ring.getBufferSize() / 2) {
             return false;
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/control/FleetControlTest.java
@@ -0,0 +1,243 @@
+package org.plantainshunt.control;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.protocol.Announcement;
+import org.plantainshunt.protocol.DocumentMessage;
+import org.plantainshunt.protocol.InnerConnection;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards the rule that a node's documents only move upwards, whatever the platform and the peers say. */
+class FleetControlTest {
+    private static final long MILLISECOND = 1_000_000;
+    private static final String CONFIGURATION = "configuration";
+    private static final String VM_LIST = "vm-list";
+    private static final InetSocketAddress SEED = new InetSocketAddress("127.0.0.1", 7001);
+
+    private final Map<String, Platform.Answer> platform = new HashMap<>();
+    private final Map<String, FakePeer> peers = new HashMap<>();
+    private final FakePeer seed = new FakePeer("vm-2");
+    private final List<Long> inForce = new ArrayList<>();
+    private final List<Long> lists = new ArrayList<>();
+    private int reads;
+    private long now;
+
+    @Test
+    void aStalePlatformDoesNotRevertANewerDocument() throws Exception {
+        FleetControl control = control(List.of());
+        platform.put(CONFIGURATION, document(4));
+        run(control, 3_000);
+        control.received(seed, message(CONFIGURATION, text(6)));
+        platform.put(CONFIGURATION, document(5));
+        run(control, 5_000);
+        assertEquals(List.of(4L, 6L), inForce);
+        platform.put(CONFIGURATION, document(7));
+        run(control, 3_000);
+        assertEquals(List.of(4L, 6L, 7L), inForce);
+    }
+
+    @Test
+    void seedsAnswerWhileThePlatformIsDown() throws Exception {
+        FleetControl control = control(List.of(SEED));
+        run(control, 1_000);
+        assertTrue(seed.requested().containsAll(List.of(CONFIGURATION, VM_LIST)));
+        assertEquals(0, control.documentNumber());
+        control.received(seed, message(CONFIGURATION, text(3)));
+        assertEquals(List.of(3L), inForce);
+        control.received(seed, message(VM_LIST, list(8)));
+        assertEquals(List.of(8L), lists);
+        int asked = seed.requested().size();
+        run(control, 3_000);
+        assertEquals(asked, seed.requested().size(), "a node with both documents asks its seeds no more");
+    }
+
+    /** The platform may be stale when a node starts, so the seeds' word is awaited, though not without end. */
+    @Test
+    void theFirstDocumentWaitsForASeedsConfiguration() throws Exception {
+        platform.put(CONFIGURATION, document(3));
+        FleetControl control = control(List.of(SEED));
+        run(control, 2_200);
+        control.received(seed, message(VM_LIST, list(1)));
+        run(control, 200);
+        assertEquals(List.of(), inForce);
+        control.received(seed, message(CONFIGURATION, text(5)));
+        assertEquals(List.of(5L), inForce);
+    }
+
+    @Test
+    void aSilentSeedDelaysTheStartByThreeSecondsAtMost() throws Exception {
+        platform.put(CONFIGURATION, document(3));
+        FleetControl control = control(List.of(SEED));
+        run(control, 2_900);
+        assertEquals(List.of(), inForce);
+        run(control, 200);
+        assertEquals(List.of(3L), inForce);
+    }
+
+    @Test
+    void invalidDocumentsChangeNothing() throws Exception {
+        platform.put(CONFIGURATION, document(4));
+        platform.put(VM_LIST, answer(list(2)));
+        FleetControl control = control(List.of());
+        run(control, 3_000);
+        platform.put(CONFIGURATION, answer(text(9).replace("region = one", "region = two")));
+        platform.put(VM_LIST, answer("[vm-list]\nrevision = many\n"));
+        run(control, 3_000);
+        assertEquals(List.of(4L), inForce);
+        assertEquals(List.of(2L), lists);
+        assertTrue(control.configuration().lastRejection().isPresent());
+    }
+
+    @Test
+    void peersAheadAreAskedAndPeersBehindAreTold() throws Exception {
+        FleetControl control = control(List.of());
+        platform.put(CONFIGURATION, document(4));
+        run(control, 3_000);
+        FakePeer ahead = new FakePeer("vm-2");
+        control.announced(ahead, new Announcement(CONFIGURATION, 5, "00"));
+        control.announced(ahead, new Announcement(CONFIGURATION, 5, "00"));
+        assertEquals(List.of(CONFIGURATION), ahead.requested(), "a document on its way is not asked for twice");
+        FakePeer behind = new FakePeer("vm-3");
+        control.announced(behind, new Announcement(CONFIGURATION, 3, "ff"));
+        assertEquals(4, behind.announced().get(0).number());
+        control.requested(behind, CONFIGURATION);
+        assertEquals(
+                text(4), new String(Compression.expand(behind.sent().get(0).compressed()), StandardCharsets.UTF_8));
+        control.announced(behind, new Announcement("of another kind", 9, "00"));
+        assertEquals(List.of(), behind.requested());
+    }
+
+    @Test
+    void acceptedDocumentsAreAnnouncedAtOnce() throws Exception {
+        FleetControl control = control(List.of());
+        control.received(seed, message(VM_LIST, list(1)));
+        control.received(seed, message(CONFIGURATION, text(4)));
+        assertEquals(3, peers.size());
+        for (FakePeer peer : peers.values()) {
+            assertTrue(peer.announced().stream().anyMatch(heard -> heard.number() == 4), peer.peerVm());
+        }
+    }
+
+    /** A call that names a newer document is a hint; the peer is asked at most once a second. */
+    @Test
+    void callsThatNameANewerDocumentLeadToIt() throws Exception {
+        FleetControl control = control(List.of());
+        control.received(seed, message(VM_LIST, list(1)));
+        for (int i = 0; i < 5; i++) {
+            control.seenNumber("vm-2", 9);
+        }
+        assertEquals(List.of(CONFIGURATION), peers.get("vm-2").requested());
+    }
+
+    /** A peer must not make the node hold more than the platform could, packed or unpacked. */
+    @Test
+    void documentsOverOneMebibyteAreRefused() throws Exception {
+        FleetControl control = control(List.of());
+        String filler = "# filler\n".repeat(150_000);
+        control.received(seed, message(CONFIGURATION, text(4) + filler));
+        control.received(seed, message(VM_LIST, list(4) + "\n".repeat(100_000_000)));
+        byte[] noise = new byte[1_100_000];
+        new Random(1).nextBytes(noise);
+        control.received(seed, new DocumentMessage(CONFIGURATION, 9, "00", noise));
+        byte[] cut = Compression.compress(text(9).getBytes(StandardCharsets.UTF_8));
+        control.received(
+                seed, new DocumentMessage(CONFIGURATION, 9, "00", java.util.Arrays.copyOf(cut, cut.length / 2)));
+        run(control, 3_000);
+        assertEquals(List.of(), inForce);
+        assertEquals(List.of(), lists);
+    }
+
+    /** Polls of a small fleet come about once a second for each document, also while the platform is down. */
+    @Test
+    void thePlatformIsReadAboutOnceASecond() throws Exception {
+        run(control(List.of()), 20_000);
+        assertTrue(reads >= 30 && reads <= 50, reads + " reads in 20 s");
+    }
+
+    private FleetControl control(List<InetSocketAddress> seeds) {
+        FleetControl control =
+                new FleetControl("vm-1", seeds, this::read, new FakePeers(), new InForce(), () -> now, new Random(1));
+        control.runOn(Runnable::run);
+        return control;
+    }
+
+    private void run(FleetControl control, long milliseconds) {
+        for (long end = now + milliseconds * MILLISECOND; now < end; now += 100 * MILLISECOND) {
+            control.tick();
+        }
+        control.tick();
+    }
+
+    private void read(String name, Optional<String> entityTag, Consumer<Platform.Answer> listener) {
+        reads++;
+        listener.accept(platform.getOrDefault(name, Platform.Answer.without(Platform.State.FAILED, "down")));
+    }
+
+    private static String text(long version) {
+        return "[document]\nversion = " + version + "\nname = test\n\n[region one]\n\n[data-centre one-1]\n"
+                + "region = one\n\n[service front]\nslots = 2\nconnections = 20\n";
+    }
+
+    private static String list(long revision) {
+        StringBuilder text = new StringBuilder("[vm-list]\nrevision = " + revision + "\n");
+        for (int i = 1; i <= 4; i++) {
+            text.append("\n[vm vm-").append(i).append("]\nservice = front\ndata-centre = one-1\n");
+            text.append("address = 127.0.0.1\nstate = live\ninner-port = ")
+                    .append(7000 + i)
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
+    private static Platform.Answer document(long version) {
+        return answer(text(version));
+    }
+
+    private static Platform.Answer answer(String text) {
+        return new Platform.Answer(
+                Platform.State.NEW_DOCUMENT, text.getBytes(StandardCharsets.UTF_8), Optional.empty(), "");
+    }
+
+    private static DocumentMessage message(String kind, String text) throws IOException {
+        return new DocumentMessage(kind, 1, "00", Compression.compress(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private final class FakePeers implements FleetControl.Peers {
+        @Override
+        public void use(Vm vm, Consumer<InnerConnection> action) {
+            action.accept(peers.computeIfAbsent(vm.name(), FakePeer::new));
+        }
+
+        @Override
+        public void useSeed(InetSocketAddress address, Consumer<InnerConnection> action) {
+            action.accept(seed);
+        }
+    }
+
+    private final class InForce implements FleetControl.Listener {
+        @Override
+        public void configuration(Document document) {
+            inForce.add(document.version().number());
+        }
+
+        @Override
+        public void vmList(VmList list) {
+            lists.add(list.revision());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/control/HealthWatchTest.java
@@ -0,0 +1,43 @@
+package org.plantainshunt.control;
+
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.control.HealthWatch.Health;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a drain that is missed, and against failures of a misleading endpoint that count too early. */
+class HealthWatchTest {
+    private final HealthWatch watch = new HealthWatch();
+
+    @Test
+    void drainingCountsAtOnceAndEndsWithServing() {
+        assertFalse(watch.answered(Health.SERVING));
+        assertTrue(watch.answered(Health.DRAINING));
+        assertTrue(watch.draining());
+        assertFalse(watch.answered(Health.DRAINING));
+        assertTrue(watch.answered(Health.SERVING));
+        assertFalse(watch.draining());
+    }
+
+    @Test
+    void failuresKeepTheDrain() {
+        watch.answered(Health.DRAINING);
+        for (int i = 0; i < 5; i++) {
+            assertFalse(watch.answered(Health.FAILING));
+        }
+        assertTrue(watch.draining());
+    }
+
+    @Test
+    void onlyThreeFailuresInARowCount() {
+        for (Health health : new Health[] {Health.FAILING, Health.FAILING, Health.SERVING, Health.FAILING}) {
+            watch.answered(health);
+            assertFalse(watch.failing());
+        }
+        watch.answered(Health.FAILING);
+        watch.answered(Health.FAILING);
+        assertTrue(watch.failing());
+        assertFalse(watch.draining());
+    }
+}
