Give a request one id in answer, log line, span and metric

A call of a backend server without Plantainshunt-Request-Id was answered and logged under an id of its own, while its span had the id of the whole request. The reply now carries the id of the whole request, and the answer and the log line take it from there.

The span tracer keeps its logger, which the JDK's logging could forget, and takes its handler off at the end.

Tests: one span for each hop with its parent over entry and serving sides of a chain, one refusal in all four places, bounded span files.

--- a/node/src/main/java/org/plantainshunt/call/CallReply.java
+++ b/node/src/main/java/org/plantainshunt/call/CallReply.java
@@ -12,6 +12,7 @@
  *
  * <p>Immutable but for the body, which nobody changes. Safe for use by any thread.
  *
+ * @param requestId the id of the whole request, which a call of a backend server inherits
  * @param code the result
  * @param status the HTTP status
  * @param headers the backend server's headers
@@ -21,6 +22,7 @@
  * @param retries the attempts made for this call beyond the first
  */
 public record CallReply(
+        String requestId,
         ResultCode code,
         int status,
         List<Header> headers,
@@ -30,8 +32,9 @@
         int retries) {
     private static final byte[] NO_BYTES = {};
 
-    static CallReply refused(Refusal refusal, Optional<String> ticket, int retries) {
+    static CallReply refused(String requestId, Refusal refusal, Optional<String> ticket, int retries) {
         return new CallReply(
+                requestId,
                 refusal.code(),
                 refusal.code().httpStatus(),
                 List.of(),
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -258,6 +258,7 @@
         reply(
                 call,
                 new CallReply(
+                        call.requestId,
                         answer.code(),
                         answer.status(),
                         answer.headers(),
@@ -370,7 +371,7 @@
     }
 
     private void refuseFinally(EntryCall call, Refusal refusal) {
-        reply(call, CallReply.refused(refusal, call.inbound.ticket(), call.retries));
+        reply(call, CallReply.refused(call.requestId, refusal, call.inbound.ticket(), call.retries));
     }
 
     private void reply(EntryCall call, CallReply reply) {
@@ -461,7 +462,7 @@
                 attempt.finish(UpstreamEnd.CANCELLED, environment.now());
                 EntryCall call = attempt.call;
                 Refusal refusal = Refusal.of(ResultCode.TICKET_REQUIRED, "repeat the request with this ticket");
-                reply(call, CallReply.refused(refusal, Optional.of(ticket), call.retries));
+                reply(call, CallReply.refused(call.requestId, refusal, Optional.of(ticket), call.retries));
             });
         }
 
--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -209,16 +209,16 @@
                         return;
                     }
                     running.end();
-                    send(context, requestId, reply.get());
+                    send(context, reply.get());
                 });
     }
 
     /** Refuses a request that has not reached the decisions. */
     private void refuse(Context context, RunningRequest running, String requestId, Refusal refusal) {
         running.end();
-        CallReply reply = refused(refusal, context.getRequest());
+        CallReply reply = refused(requestId, refusal, context.getRequest());
         refusals.accept(requestId, reply.refusal().orElseThrow());
-        send(context, requestId, reply);
+        send(context, reply);
     }
 
     /** Answers a request that is no HTTP, or whose path or headers are longer than the node reads. */
@@ -324,7 +324,7 @@
         return UUID.randomUUID().toString();
     }
 
-    private static CallReply refused(Refusal refused, Request request) {
+    private static CallReply refused(String requestId, Refusal refused, Request request) {
         // A request that carries a ticket may have run through another node, so this node cannot say "not run".
         ResultCode code = refused.code();
         boolean withTicket = request.getHeaders().contains(HeaderNames.TICKET);
@@ -335,6 +335,7 @@
                         ResultCode.OUTCOME_UNKNOWN,
                         "this delivery was refused: " + code.number() + " " + refused.detail());
         return new CallReply(
+                requestId,
                 refusal.code(),
                 code.httpStatus(),
                 List.of(),
@@ -344,7 +345,7 @@
                 0);
     }
 
-    private void send(Context context, String requestId, CallReply reply) {
+    private void send(Context context, CallReply reply) {
         Response response = context.getResponse();
         response.status(reply.status());
         for (Header header : reply.headers()) {
@@ -355,7 +356,7 @@
         response.getHeaders()
                 .set(HeaderNames.RESULT, Integer.toString(reply.code().number()))
                 .set(HeaderNames.RUN, reply.code().runState().label())
-                .set(HeaderNames.REQUEST_ID, requestId);
+                .set(HeaderNames.REQUEST_ID, reply.requestId());
         reply.ticket().ifPresent(ticket -> response.getHeaders().set(HeaderNames.TICKET, ticket));
         if (reply.refusal().isEmpty()) {
             response.send(reply.body());
@@ -366,7 +367,7 @@
             long seconds = (refusal.retryAfterMilliseconds() + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND;
             response.getHeaders().set(HeaderNames.RETRY_AFTER, Long.toString(seconds));
         }
-        response.send("application/json", describe(requestId, refusal));
+        response.send("application/json", describe(reply.requestId(), refusal));
     }
 
     private byte[] describe(String requestId, Refusal refusal) {
--- a/node/src/main/java/org/plantainshunt/telemetry/SpanTracer.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/SpanTracer.java
@@ -30,7 +30,7 @@
  * Writes a span for each hop to a file, as OTLP JSON lines.
  *
  * <p>Spans are written by a thread of the tracing library; when its queue is full, spans are dropped. The file is
- * bounded and begins anew when it is full. Safe for use by any thread.
+ * bounded: {@code PATH.0} is the current one and {@code PATH.1} the one before it. Safe for use by any thread.
  */
 public final class SpanTracer implements HopTracer, AutoCloseable {
     private static final int LARGEST_FILE_BYTES = 64 * 1024 * 1024;
@@ -39,6 +39,9 @@
     private static final String TRACE_PARENT = "traceparent";
     private static final TextMapGetter<String> GETTER = new TraceParentGetter();
 
+    /** Kept, because the JDK's logging forgets a logger, and its handler, that nobody refers to. */
+    private final Logger target = Logger.getLogger(OtlpJsonLoggingSpanExporter.class.getName());
+
     private final SdkTracerProvider provider;
     private final Tracer tracer;
     private final FileHandler file;
@@ -49,9 +52,12 @@
      * @throws IOException if the file cannot be written
      */
     public SpanTracer(Path path, String node) throws IOException {
-        file = new FileHandler(path.toString(), LARGEST_FILE_BYTES, FILES, true);
+        this(path, node, LARGEST_FILE_BYTES);
+    }
+
+    SpanTracer(Path path, String node, int largestFileBytes) throws IOException {
+        file = new FileHandler(path.toString(), largestFileBytes, FILES, true);
         file.setFormatter(new PlainLine());
-        Logger target = Logger.getLogger(OtlpJsonLoggingSpanExporter.class.getName());
         target.setUseParentHandlers(false);
         target.addHandler(file);
         provider = SdkTracerProvider.builder()
@@ -79,6 +85,7 @@
     @Override
     public void close() {
         provider.shutdown().join(STOP_SECONDS, TimeUnit.SECONDS);
+        target.removeHandler(file);
         file.close();
     }
 
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -70,7 +70,7 @@
         entryTime.update(now - call.arrived(), TimeUnit.NANOSECONDS);
         retries.inc(reply.retries());
         if (reply.refusal().isPresent() && reply.code() != ResultCode.TICKET_REQUIRED) {
-            log(call.requestId(), call.service(), call.kind(), reply.refusal().get(), reply.retries());
+            log(reply.requestId(), call.service(), call.kind(), reply.refusal().get(), reply.retries());
         }
     }
 
