--- a/bench/src/main/java/org/plantainshunt/bench/capacity/CapacityProbe.java
+++ b/bench/src/main/java/org/plantainshunt/bench/capacity/CapacityProbe.java
@@ -19,7 +19,7 @@
 /**
  * Measures what a node spends on control at several sizes, over real processes.
  *
- * <p>Processor time, memory and bytes are read from /proc; the bytes include the local health checks. Run with
+ * <p>Processor time and memory are read from /proc, the bytes of control frames from the nodes' metrics. Run with
  * {@code bin/measure-capacity}. Used by one thread.
  */
 public final class CapacityProbe {
@@ -108,7 +108,7 @@
     private static void report(String name, Usage before, Usage after, double seconds) {
         System.out.println(String.format(
                 Locale.ROOT,
-                "%-28s cpu %5.2f %% of a core, resident %6.1f MB, in %8.0f B/s, out %8.0f B/s",
+                "%-28s cpu %5.2f %% of a core, resident %6.1f MB, control in %6.0f B/s, out %6.0f B/s",
                 name,
                 (after.processorMilliseconds - before.processorMilliseconds) / seconds / 10,
                 after.residentBytes / 1e6,
@@ -118,7 +118,7 @@
 
     /** What a process has used up to one moment. */
     private record Usage(long processorMilliseconds, long residentBytes, long readBytes, long writtenBytes) {
-        static Usage of(FleetVm vm) throws IOException {
+        static Usage of(FleetVm vm) throws IOException, InterruptedException {
             Path process = Path.of("/proc", Long.toString(vm.nodePid()));
             String stat = Files.readString(process.resolve("stat"));
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
@@ -126,8 +126,17 @@
             return new Usage(
                     ticks * MILLISECONDS_PER_TICK,
                     1024 * value(process.resolve("status"), "VmRSS:"),
-                    value(process.resolve("io"), "rchar:"),
-                    value(process.resolve("io"), "wchar:"));
+                    metric(vm, "control.bytes-received"),
+                    metric(vm, "control.bytes-sent"));
+        }
+
+        private static long metric(FleetVm vm, String name) throws IOException, InterruptedException {
+            for (String line : vm.admin("metrics.txt").split("\n")) {
+                if (line.startsWith("gauges." + name + " ")) {
+                    return Long.parseLong(line.substring(line.indexOf(' ') + 1).trim());
+                }
+            }
+            throw new IOException("the node has no metric " + name);
         }
 
         private static long value(Path file, String key) throws IOException {
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -298,6 +298,8 @@
         gauge("entry.open", () -> snapshot().entered());
         gauge("decisions.ring-fill", () -> decisions.fill());
         gauge("telemetry.ring-fill", telemetry::fill);
+        gauge("control.bytes-sent", inner::controlBytesSent);
+        gauge("control.bytes-received", inner::controlBytesReceived);
         gauge("configuration.number", control::documentNumber);
         gauge("memory.heap-bytes", () -> {
             Runtime runtime = Runtime.getRuntime();
--- a/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -48,7 +48,7 @@
         this.channel = channel;
         this.context = context;
         this.peer = peer;
-        this.writer = new FrameWriter(channel);
+        this.writer = new FrameWriter(channel, context.controlTraffic());
         this.outgoing = new OutgoingCalls(writer, context.settings().maximumBodyBytes(), firstCall);
         this.incoming = new IncomingCalls(writer, context, peer.vm(), transit, task -> run(task, () -> {}));
         this.documents = new DocumentTransfer(writer);
@@ -126,6 +126,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext handlerContext, Frame frame) throws ProtocolException {
         pingSent = false;
+        context.controlTraffic().received(frame);
         switch (frame.getContentCase()) {
             case CALL_START, CHUNK, CALL_END, CANCEL, TICKET_REQUEST -> receiveRequest(frame);
             case ANSWER_START, ANSWER_END, CALL_REFUSED, TICKET_GRANT -> receiveReply(frame);
--- /dev/null
+++ b/protocol/src/main/java/org/plantainshunt/protocol/ControlTraffic.java
@@ -0,0 +1,43 @@
+package org.plantainshunt.protocol;
+
+import java.util.concurrent.atomic.LongAdder;
+
+import org.plantainshunt.protocol.wire.Frame;
+
+/**
+ * Counts the bytes of frames that belong to no call: documents, announcements and signs of life.
+ *
+ * <p>Safe for use by any thread.
+ */
+final class ControlTraffic {
+    private static final int LENGTH_BYTES = 4;
+
+    private final LongAdder sent = new LongAdder();
+    private final LongAdder received = new LongAdder();
+
+    void sent(Frame frame) {
+        count(frame, sent);
+    }
+
+    void received(Frame frame) {
+        count(frame, received);
+    }
+
+    long sentBytes() {
+        return sent.sum();
+    }
+
+    long receivedBytes() {
+        return received.sum();
+    }
+
+    private static void count(Frame frame, LongAdder bytes) {
+        switch (frame.getContentCase()) {
+            case DRAINING, DOCUMENT_ANNOUNCEMENT, DOCUMENT_REQUEST, DOCUMENT_PART, PING, PONG -> bytes.add(
+                    frame.getSerializedSize() + LENGTH_BYTES);
+            default -> {
+                // Frames of calls are the callers' traffic.
+            }
+        }
+    }
+}
--- a/protocol/src/main/java/org/plantainshunt/protocol/EndpointContext.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/EndpointContext.java
@@ -9,6 +9,7 @@
     private final PeerHandler peerHandler;
     private final Authenticator authenticator;
     private final Peers peers;
+    private final ControlTraffic controlTraffic = new ControlTraffic();
     private volatile LoadReport lastLoad = LoadReport.NONE;
 
     EndpointContext(InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler) {
@@ -39,6 +40,10 @@
         return peers;
     }
 
+    ControlTraffic controlTraffic() {
+        return controlTraffic;
+    }
+
     /** Remembers the load that the handler reported last. */
     void report(LoadReport load) {
         lastLoad = load;
--- a/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/FrameWriter.java
@@ -27,6 +27,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(FrameWriter.class);
 
     private final Channel channel;
+    private final ControlTraffic traffic;
     private final Deque<Frame> control = new ArrayDeque<>();
     private final Deque<OutgoingStream> fresh = new ArrayDeque<>();
     private final Deque<OutgoingStream> underWay = new ArrayDeque<>();
@@ -35,7 +36,8 @@
     private boolean finishing;
     private boolean closed;
 
-    FrameWriter(Channel channel) {
+    FrameWriter(Channel channel, ControlTraffic traffic) {
+        this.traffic = traffic;
         this.channel = channel;
     }
 
@@ -161,6 +163,7 @@
     }
 
     private void write(Frame frame) {
+        traffic.sent(frame);
         channel.write(Frames.encode(channel.alloc(), frame), channel.voidPromise());
     }
 }
--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -146,6 +146,16 @@
         return result;
     }
 
+    /** Returns the bytes sent for control since the start: all frames but those of calls and handshakes. */
+    public long controlBytesSent() {
+        return context.controlTraffic().sentBytes();
+    }
+
+    /** Returns the bytes received for control since the start. */
+    public long controlBytesReceived() {
+        return context.controlTraffic().receivedBytes();
+    }
+
     /** Tells the peers of all connections, and of those that open later, that this node is leaving. */
     public void sayDraining() {
         context.peers().sayDraining();
