Tell callers when a full ticket table has room again

Cause: a refusal with 1107 carried a retry time of 0, which means that a repeat does not help, although the table has room once its oldest entry expires.

Ruled out: the time of the oldest running entry, whose end is not known.

Change: the retry time is the time left of the oldest ended entry, else of the oldest unused ticket. fullTableIssuesAgainOnlyAfterExpiry checks both.

--- a/core/src/main/java/org/plantainshunt/execution/TicketTable.java
+++ b/core/src/main/java/org/plantainshunt/execution/TicketTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import org.plantainshunt.configuration.Policy;
@@ -87,8 +88,8 @@
             throw new RefusedException(Refusal.of(ResultCode.DRAINING, "node " + node + " issues no further tickets"));
         }
         if (entries.size() >= capacity) {
-            throw new RefusedException(
-                    Refusal.of(ResultCode.TICKET_TABLE_FULL, "all " + capacity + " tickets are in use"));
+            String detail = "all " + capacity + " tickets are in use";
+            throw new RefusedException(new Refusal(ResultCode.TICKET_TABLE_FULL, detail, untilRoom(now)));
         }
         TicketEntry entry = new TicketEntry(unusedNonce(), service, kind, now);
         entries.put(entry.nonce, entry);
@@ -209,6 +210,19 @@
         return storedBytes;
     }
 
+    /** Returns the milliseconds until the oldest entry is likely to be removed; 0 if that cannot be foreseen. */
+    private long untilRoom(long now) {
+        long nanoseconds;
+        if (!endedInOrder.isEmpty()) {
+            nanoseconds = keptFor - (now - endedInOrder.peek().endedAt);
+        } else if (!issuedInOrder.isEmpty()) {
+            nanoseconds = useWithin + keptFor - (now - issuedInOrder.peek().issuedAt);
+        } else {
+            return 0;
+        }
+        return Math.max(1, TimeUnit.NANOSECONDS.toMillis(nanoseconds));
+    }
+
     private String unusedNonce() {
         String nonce;
         do {
--- a/core/src/test/java/org/plantainshunt/execution/TicketTableTest.java
+++ b/core/src/test/java/org/plantainshunt/execution/TicketTableTest.java
@@ -153,8 +153,11 @@
         for (int i = 0; i < 100; i++) {
             issue(0);
         }
-        RefusedException full = assertThrows(RefusedException.class, () -> issue(330 * SECOND));
+        RefusedException full = assertThrows(RefusedException.class, () -> issue(10 * SECOND));
         assertEquals(ResultCode.TICKET_TABLE_FULL, full.refusal().code());
+        assertEquals(320_000, full.refusal().retryAfterMilliseconds());
+        full = assertThrows(RefusedException.class, () -> issue(330 * SECOND));
+        assertEquals(300_000, full.refusal().retryAfterMilliseconds());
         for (int i = 0; i < 10; i++) {
             begin("", 331 * SECOND);
         }
