Give long work a fifth of the slots by default, and use the gossip's own choice of peers

Cause 2: the node chose its neighbours and paced its connections a second time beside the classes of core that do so. The second versions are gone.

--- a/core/src/main/java/org/plantainshunt/configuration/Defaults.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Defaults.java
@@ -5,7 +5,7 @@
 /** The values of keys that a document may leave out. */
 final class Defaults {
     static final Duration TARGET_QUEUE_DELAY = Duration.ofMillis(20);
-    static final double LONG_WORK_SHARE = 0.5;
+    static final double LONG_WORK_SHARE = 0.2;
     static final int LONG_WORK_AFTER = 10;
 
     /** With a queue of twice the slots, the last call in a full queue waits for about two service times. */
--- a/core/src/test/java/org/plantainshunt/configuration/DocumentErrorsTest.java
+++ b/core/src/test/java/org/plantainshunt/configuration/DocumentErrorsTest.java
@@ -46,7 +46,7 @@
     void absentKeysHaveTheDocumentedDefaults() throws InvalidDocumentException {
         Document document = Document.parse(bytes(VALID));
         assertEquals(Defaults.POLICY, document.policy());
-        Service expected = new Service("front", 10, 20, 20, Defaults.TARGET_QUEUE_DELAY, 0.5, 10);
+        Service expected = new Service("front", 10, 20, 20, Defaults.TARGET_QUEUE_DELAY, 0.2, 10);
         assertEquals(expected, document.service("front").orElseThrow());
     }
 
--- a/core/src/test/java/org/plantainshunt/configuration/ExamplesTest.java
+++ b/core/src/test/java/org/plantainshunt/configuration/ExamplesTest.java
@@ -42,7 +42,7 @@
     void valuesOfBellMeshAreReadWithTheirUnits() throws IOException, InvalidDocumentException {
         Document document = read("bell-mesh.ini");
         assertEquals(
-                new Service("archive", 30, 300, 60, Duration.ofMillis(20), 0.5, 10),
+                new Service("archive", 30, 300, 60, Duration.ofMillis(20), 0.2, 10),
                 document.service("archive").orElseThrow());
         assertEquals(
                 new Kind(
--- a/node/src/main/java/org/plantainshunt/call/Connections.java
+++ b/node/src/main/java/org/plantainshunt/call/Connections.java
@@ -16,6 +16,7 @@
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.duty.TaskRunner;
 import org.plantainshunt.protocol.InnerConnection;
+import org.plantainshunt.routing.ConnectionPacing;
 
 /**
  * The connections from this node to others, one for each VM, opened on first use.
@@ -25,8 +26,6 @@
  * Confined to the decision duty's thread.
  */
 final class Connections {
-    private static final int OPENED_PER_SECOND = 50;
-    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long FIRST_PAUSE = TimeUnit.MILLISECONDS.toNanos(200);
     private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(3);
 
@@ -37,8 +36,7 @@
     private final Consumer<Vm> onFailure;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Deque<Peer> waiting = new ArrayDeque<>();
-    private double openings = OPENED_PER_SECOND;
-    private long refilledAt;
+    private final ConnectionPacing pacing = new ConnectionPacing();
 
     Connections(Opener opener, TaskRunner duty, LongSupplier clock, RandomGenerator random, Consumer<Vm> onFailure) {
         this.opener = opener;
@@ -46,7 +44,6 @@
         this.clock = clock;
         this.random = random;
         this.onFailure = onFailure;
-        this.refilledAt = clock.getAsLong();
     }
 
     /** Calls {@code ready} with an open connection, or {@code failed} with the reason, now or later. */
@@ -97,10 +94,7 @@
     }
 
     private void openWaiting(long now) {
-        openings = Math.min(OPENED_PER_SECOND, openings + OPENED_PER_SECOND * (double) (now - refilledAt) / SECOND);
-        refilledAt = now;
-        while (openings >= 1 && !waiting.isEmpty()) {
-            openings--;
+        while (!waiting.isEmpty() && pacing.tryOpen(now)) {
             open(waiting.poll());
         }
     }
--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -49,7 +49,7 @@
     private final Map<DocumentKind, DocumentState> states = new EnumMap<>(DocumentKind.class);
     private final List<InetSocketAddress> seeds;
     private final long startedAt;
-    private final Neighbours neighbours;
+    private List<String> otherNodes = List.of();
     private TaskRunner duty;
     private Optional<VmList> vmList = Optional.empty();
     private boolean seedAnswered;
@@ -74,7 +74,6 @@
         this.clock = clock;
         this.random = random;
         this.startedAt = clock.getAsLong();
-        this.neighbours = new Neighbours(ownVm);
         for (DocumentKind kind : DocumentKind.values()) {
             states.put(kind, new DocumentState(new DocumentGossip(random), firstPoll()));
         }
@@ -177,7 +176,7 @@
         }
         DocumentVersion version = accepted.get();
         LOGGER.info("accepted {} {} from {}", kind.label(), version, source);
-        for (String name : state.gossip.accepted(version, neighbours.names())) {
+        for (String name : state.gossip.accepted(version, otherNodes)) {
             announce(name, kind, version);
         }
         putInForceWhenReady(clock.getAsLong());
@@ -214,7 +213,10 @@
             return Optional.empty();
         }
         vmList = Optional.of(parsed);
-        neighbours.choose(parsed.vms());
+        otherNodes = parsed.vms().stream()
+                .map(Vm::name)
+                .filter(name -> !name.equals(ownVm))
+                .toList();
         listener.vmList(parsed);
         return Optional.of(version);
     }
@@ -241,7 +243,7 @@
             }));
         }
         states.forEach((kind, state) -> state.gossip.current().ifPresent(version -> state.gossip
-                .nextExchange(neighbours.names())
+                .nextExchange(otherNodes)
                 .ifPresent(name -> announce(name, kind, version))));
     }
 
