--- a/core/src/main/java/org/plantainshunt/routing/Trials.java
+++ b/core/src/main/java/org/plantainshunt/routing/Trials.java
@@ -19,6 +19,9 @@
     /** The calls to other servers between two trials, which keeps trials well under one call in a hundred. */
     private static final int CALLS_BETWEEN = 200;
 
+    /** The time after which even a critical call becomes a trial, in nanoseconds: a service may have no other calls. */
+    private static final long OVERDUE = 4 * INTERVAL;
+
     /** The trials in a row that must be answered in time. */
     private static final int SUCCESSES = 3;
 
@@ -64,6 +67,11 @@
         return callsSince >= CALLS_BETWEEN || waited >= LONGEST_INTERVAL;
     }
 
+    /** Returns whether a trial may start and no call of a lower class became one in time. */
+    boolean overdue(long now) {
+        return due(now) && now - chosenAt >= OVERDUE;
+    }
+
     /** Notes that the next call to the server is a trial. */
     void choose(long now) {
         chosen = true;
