Keep the link budget's burst short and its rate under the link's

Cause: at 5 times the capacity of the Bell Mesh calls between the regions took 700 to 800 ms where 83 ms are usual, and scheduler slots were held by requests that waited for them, so critical work was refused. Each node may take 2 s of its share at once and then as much as the link carries, so the first burst forms a queue of up to 2 s on the link that never shrinks.

Ruled out: the order of calls at the servers; critical calls waited 1 to 3 ms there.

Change: the burst is a quarter of a second and the sum of the shares is 90 % of the link.

--- a/core/src/main/java/org/plantainshunt/routing/LinkBudget.java
+++ b/core/src/main/java/org/plantainshunt/routing/LinkBudget.java
@@ -14,8 +14,11 @@
  * thread.
  */
 public final class LinkBudget {
-    /** The burst, as a time at the full share; long enough that a share of one call a second can be used. */
-    private static final double BURST_SECONDS = 2;
+    /** The burst, as a time at the full share; it is also how long a queue all nodes can form on the link at once. */
+    private static final double BURST_SECONDS = 0.25;
+
+    /** Less than the whole link, so that a queue on it shrinks again. */
+    private static final double USED_SHARE = 0.9;
 
     /** The smallest burst in bytes: four chunks of the inner protocol, which a call may need to pass at all. */
     private static final double SMALLEST_BURST = 65_536;
@@ -41,7 +44,7 @@
 
     /** Changes the bandwidth in bits per second and the number of nodes; what is in the bucket stays. */
     public void configure(long bitsPerSecond, int nodesInRegion) {
-        bytesPerSecond = bitsPerSecond / 8.0 / Math.max(1, nodesInRegion);
+        bytesPerSecond = USED_SHARE * bitsPerSecond / 8.0 / Math.max(1, nodesInRegion);
         burst = Math.max(SMALLEST_BURST, bytesPerSecond * BURST_SECONDS);
         tokens = Math.min(tokens, burst);
     }
