Let the backend server stand-in cancel by call id and mark what it sheds

Nodes cancel by the id in Plantainshunt-Call, and tell a shed request by Plantainshunt-Shed; the stand-in knew the request id and Retry-After only, so cancellations met 404 and the node's limit never shrank. Its own calls now pass on Plantainshunt-Request-Id. Callers without a node, which send no call id, still cancel by request id.

--- a/standins/src/main/java/org/plantainshunt/standins/BackendServer.java
+++ b/standins/src/main/java/org/plantainshunt/standins/BackendServer.java
@@ -121,7 +121,7 @@
                 0,
                 0,
                 WorkState.RECEIVED.label()));
-        running.put(identity.requestId(), work);
+        running.put(callId(headers), work);
         ScheduledFuture<?> timer = deadline.isEmpty()
                 ? null
                 : timers.schedule(
@@ -178,6 +178,7 @@
         OutboundCalls.PassedOn passedOn = new OutboundCalls.PassedOn(
                 Optional.ofNullable(headers.get(HeaderNames.CONTEXT)),
                 Optional.ofNullable(headers.get(HeaderNames.TRACE_PARENT)),
+                Optional.ofNullable(headers.get(HeaderNames.REQUEST_ID)),
                 process);
         return outbound.get().make(work, passedOn);
     }
@@ -185,11 +186,11 @@
     private void answer(Context context, Work work, WorkState reached) {
         WorkState state = work.finish(reached);
         WorkIdentity identity = work.identity();
-        running.remove(identity.requestId(), work);
+        running.remove(callId(context.getRequest().getHeaders()), work);
         journal.changed(identity.sequence(), record -> record.ended(System.currentTimeMillis(), state));
         context.getResponse().status(state.status());
         if (state == WorkState.SHED) {
-            context.getResponse().getHeaders().set(HeaderNames.RETRY_AFTER, "1");
+            context.getResponse().getHeaders().set(HeaderNames.SHED, "1").set(HeaderNames.RETRY_AFTER, "1");
         }
         if (state != WorkState.ANSWERED) {
             context.getResponse().send(state.label() + "\n");
@@ -240,6 +241,12 @@
         return "ok\n";
     }
 
+    /** Returns the id for cancellation: calls of one request differ in it, and callers without a node have none. */
+    private static String callId(Headers headers) {
+        String call = header(headers, HeaderNames.CALL);
+        return call.isEmpty() ? header(headers, HeaderNames.REQUEST_ID) : call;
+    }
+
     private static OptionalLong deadline(Headers headers) {
         String text = headers.get(HeaderNames.DEADLINE);
         if (text == null) {
--- a/standins/src/main/java/org/plantainshunt/standins/HeaderNames.java
+++ b/standins/src/main/java/org/plantainshunt/standins/HeaderNames.java
@@ -10,6 +10,10 @@
     public static final String ATTEMPT = "Plantainshunt-Attempt";
     /** Identity of the request as chosen by the caller or the first node. */
     public static final String REQUEST_ID = "Plantainshunt-Request-Id";
+    /** Identity under which a node may cancel one call of its backend server. */
+    public static final String CALL = "Plantainshunt-Call";
+    /** Says that a backend server shed the request to protect itself. */
+    public static final String SHED = "Plantainshunt-Shed";
     /** Opaque context that a backend server passes on with its own calls. */
     public static final String CONTEXT = "Plantainshunt-Context";
     /** Result code of a node's answer. */
--- a/standins/src/main/java/org/plantainshunt/standins/OutboundCalls.java
+++ b/standins/src/main/java/org/plantainshunt/standins/OutboundCalls.java
@@ -14,7 +14,8 @@
 /**
  * Makes the calls of a backend server through the outbound address of its node, one after the other.
  *
- * <p>Passes on the context, the trace context and the time left. A kind that runs at most once is repeated with the
+ * <p>Passes on the context, the trace context, the request id and the time left.
+ * A kind that runs at most once is repeated with the
  * ticket of the answer; after an unknown outcome only the same ticket is used again. Must be used on an execution of
  * Ratpack.
  */
@@ -103,6 +104,7 @@
                         headers.set(HeaderNames.ATTEMPT, Integer.toString(number));
                         ticket.ifPresent(value -> headers.set(HeaderNames.TICKET, value));
                         call.passedOn().context().ifPresent(value -> headers.set(HeaderNames.CONTEXT, value));
+                        call.passedOn().requestId().ifPresent(value -> headers.set(HeaderNames.REQUEST_ID, value));
                         call.passedOn().traceParent().ifPresent(value -> headers.set(HeaderNames.TRACE_PARENT, value));
                     });
                 })
@@ -120,9 +122,11 @@
      *
      * @param context the context of the node
      * @param traceParent the trace context
+     * @param requestId the id of the whole request
      * @param server identity of the server's process, for the identities of the calls
      */
-    record PassedOn(Optional<String> context, Optional<String> traceParent, String server) {}
+    record PassedOn(
+            Optional<String> context, Optional<String> traceParent, Optional<String> requestId, String server) {}
 
     private record Call(DeclaredCall declared, Work work, PassedOn passedOn, int index) {
         String target() {
--- a/standins/src/test/java/org/plantainshunt/standins/BackendServerTest.java
+++ b/standins/src/test/java/org/plantainshunt/standins/BackendServerTest.java
@@ -46,6 +46,11 @@
                 .sorted()
                 .toList();
         assertEquals(List.of(200, 200, 503), statuses);
+        long marked = answers.stream()
+                .filter(answer ->
+                        answer.join().headers().firstValue(HeaderNames.SHED).isPresent())
+                .count();
+        assertEquals(1, marked, "a node tells a shed request from other answers by its header only");
     }
 
     /** Guards against a damaged or foreign answer that passes for a whole one. */
@@ -142,7 +147,8 @@
     private CompletableFuture<HttpResponse<byte[]>> send(String id) {
         HttpRequest request = request("ring?size=1000")
                 .header(HeaderNames.WORK_ID, id)
-                .header(HeaderNames.REQUEST_ID, id)
+                .header(HeaderNames.REQUEST_ID, "request of " + id)
+                .header(HeaderNames.CALL, id)
                 .build();
         return client.sendAsync(request, BodyHandlers.ofByteArray());
     }
