--- a/standins/src/main/java/org/plantainshunt/standins/OutboundCalls.java
+++ b/standins/src/main/java/org/plantainshunt/standins/OutboundCalls.java
@@ -14,10 +14,9 @@
 /**
  * Makes the calls of a backend server through the outbound address of its node, one after the other.
  *
- * <p>Passes on the context, the trace context, the request id and the time left.
- * A kind that runs at most once is repeated with the
- * ticket of the answer; after an unknown outcome only the same ticket is used again. Must be used on an execution of
- * Ratpack.
+ * <p>Passes on the context, the trace context, the request id and the time left. A kind that runs at most once is
+ * repeated with the ticket of the answer; after an unknown outcome only the same ticket is used again. Must be used on
+ * an execution of Ratpack.
  */
 final class OutboundCalls {
     private static final int ANSWER_BYTES = 256;
