Drop the handle of a call with its reply

An idle keep-alive connection kept its last call, with a body of up to largest-body, until its next request. Seen while reading the code; the tests of vanishing callers pass as before.

--- a/node/src/main/java/org/plantainshunt/http/RunningRequest.java
+++ b/node/src/main/java/org/plantainshunt/http/RunningRequest.java
@@ -55,9 +55,10 @@
 
     /** Takes the handle of the call, which may come after the caller has gone. */
     synchronized void cancelWith(CancelHandle given) {
-        handle = given;
         if (gone) {
             given.cancel();
+        } else if (!released.get()) {
+            handle = given;
         }
     }
 
@@ -65,18 +66,23 @@
     void end() {
         if (released.compareAndSet(false, true)) {
             heldBytes.addAndGet(-bytes.get());
+            forgetHandle();
             release.run();
         }
     }
 
+    /** The handle holds the call with its body, and a connection may stay idle for long after its last request. */
+    private synchronized void forgetHandle() {
+        handle = null;
+    }
+
     private synchronized void cancel() {
         gone = true;
-        if (handle != null && !released.get()) {
+        if (handle != null) {
             handle.cancel();
+            return;
         }
         // A request that is with the decisions ends with its reply; before that nothing else would end it.
-        if (handle == null) {
-            end();
-        }
+        end();
     }
 }
