Report a node as ready only once it has a VM list

In a run by hand /ready answered 200 with a configuration but no VM list, and the first call was refused with 1104.

--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -56,6 +56,7 @@
     private boolean inForce;
     private long nextExchange;
     private volatile long documentNumber;
+    private volatile boolean hasVmList;
 
     /** Creates the control; {@link #runOn} must follow before anything else. */
     public FleetControl(
@@ -90,6 +91,11 @@
         return documentNumber;
     }
 
+    /** Returns whether calls can be routed, which takes both documents; safe for use by any thread. */
+    public boolean complete() {
+        return documentNumber > 0 && hasVmList;
+    }
+
     /** Returns the configuration and the last rejection; safe for use by any thread. */
     public AcceptedDocument configuration() {
         return configuration;
@@ -216,6 +222,7 @@
         vmList = Optional.of(parsed);
         neighbours.choose(parsed.vms());
         listener.vmList(parsed);
+        hasVmList = true;
         return Optional.of(version);
     }
 
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -168,7 +168,7 @@
     }
 
     boolean ready() {
-        return control.documentNumber() > 0 && !leaving;
+        return control.complete() && !leaving;
     }
 
     /** Stops as planned: says that the node leaves, finishes what is in flight, then closes. */
--- a/node/src/test/java/org/plantainshunt/control/FleetControlTest.java
+++ b/node/src/test/java/org/plantainshunt/control/FleetControlTest.java
@@ -20,6 +20,7 @@
 import org.plantainshunt.protocol.InnerConnection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards the rule that a node's documents only move upwards, whatever the platform and the peers say. */
@@ -59,7 +60,9 @@
         assertEquals(0, control.documentNumber());
         control.received(seed, message(CONFIGURATION, text(3)));
         assertEquals(List.of(3L), inForce);
+        assertFalse(control.complete(), "without a VM list each call would be refused with 1104");
         control.received(seed, message(VM_LIST, list(8)));
+        assertTrue(control.complete());
         assertEquals(List.of(8L), lists);
         int asked = seed.requested().size();
         run(control, 3_000);
