Record the decisions of the serving side as a trace

Cause: after an incident nobody can try other limits against what a node saw, because refusals are logged but arrivals and run times are not.

Ruled out: deriving it from spans. They carry no class, cohort or remaining deadline, begin at the hand-over, and are dropped by a library without a mark in the file. Writing from the decision thread was ruled out because a slow disk would delay calls.

Change: CallRecorder learns of limits, arrivals, refusals and freed slots; the telemetry duty writes them as JSON lines to the file in [trace] decisions. The events and the replay of them are in core, in the package replay. The request id is not unique at a serving node, so each event also carries the identity of the call.

--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/replay/Outcomes.java
@@ -0,0 +1,95 @@
+package org.plantainshunt.replay;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+import org.plantainshunt.configuration.PriorityClass;
+
+/**
+ * What became of the calls of a trace, by the class and the second of their arrival.
+ *
+ * <p>Confined to one thread while it is counted; safe for use by any thread afterwards.
+ */
+public final class Outcomes {
+    private static final long SECOND = 1_000_000L;
+    private static final int ALL_ADMITTED = 512;
+    private static final int DIGITS = 3;
+
+    private final SortedMap<Integer, Map<PriorityClass, Tally>> seconds = new TreeMap<>();
+    private final Histogram queueDelay = new Histogram(DIGITS);
+    private int lowestLevel = Integer.MAX_VALUE;
+    private long lastReducedLevel = -1;
+
+    Outcomes() {}
+
+    /** Returns the outcomes that the node recorded; the admission level is not recorded. */
+    public static Outcomes recorded(Trace trace) {
+        Outcomes outcomes = new Outcomes();
+        for (RecordedCall call : trace.calls()) {
+            TraceEvent.Arrival arrival = call.arrival();
+            outcomes.tally(arrival).offered();
+            call.handover().ifPresent(handover -> outcomes.started(arrival, handover.time()));
+            call.refused().ifPresent(event -> outcomes.tally(arrival).refused(event.code(), event.time()));
+            if (call.answeredInTime()) {
+                outcomes.tally(arrival).answered();
+            }
+        }
+        return outcomes;
+    }
+
+    /** Returns the seconds in which calls arrived, in order, counted from 0 at the start of the trace. */
+    public Set<Integer> seconds() {
+        return seconds.keySet();
+    }
+
+    /** Returns the tally of a class in one of {@link #seconds}. */
+    public Tally tally(int second, PriorityClass priorityClass) {
+        return seconds.get(second).get(priorityClass);
+    }
+
+    /** Returns a quantile of the time from arrival to hand-over, in microseconds; 0 if no call was handed over. */
+    public long queueDelay(double percent) {
+        return queueDelay.getTotalCount() == 0 ? 0 : queueDelay.getValueAtPercentile(percent);
+    }
+
+    /** Returns the lowest admission level, if it is known. */
+    public OptionalInt lowestLevel() {
+        return lowestLevel == Integer.MAX_VALUE ? OptionalInt.empty() : OptionalInt.of(lowestLevel);
+    }
+
+    /** Returns when the admission level was last seen below 512, in microseconds; empty if it never was. */
+    public OptionalLong lastReducedLevel() {
+        return lastReducedLevel < 0 ? OptionalLong.empty() : OptionalLong.of(lastReducedLevel);
+    }
+
+    Tally tally(TraceEvent.Arrival arrival) {
+        int second = (int) (arrival.time() / SECOND);
+        return seconds.computeIfAbsent(second, unused -> emptyTallies()).get(arrival.priorityClass());
+    }
+
+    private static Map<PriorityClass, Tally> emptyTallies() {
+        Map<PriorityClass, Tally> tallies = new EnumMap<>(PriorityClass.class);
+        for (PriorityClass priorityClass : PriorityClass.values()) {
+            tallies.put(priorityClass, new Tally());
+        }
+        return tallies;
+    }
+
+    void started(TraceEvent.Arrival arrival, long time) {
+        tally(arrival).started();
+        queueDelay.recordValue(Math.max(0, time - arrival.time()));
+    }
+
+    void level(int level, long time) {
+        lowestLevel = Math.min(lowestLevel, level);
+        if (level < ALL_ADMITTED) {
+            lastReducedLevel = time;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/replay/Replay.java
@@ -0,0 +1,220 @@
+package org.plantainshunt.replay;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+
+import org.plantainshunt.admission.Admission;
+import org.plantainshunt.admission.AdmissionQueue;
+import org.plantainshunt.admission.CallEnd;
+import org.plantainshunt.admission.CallEntry;
+import org.plantainshunt.admission.Priority;
+import org.plantainshunt.configuration.Service;
+import org.plantainshunt.result.ResultCode;
+
+/**
+ * Feeds the arrivals of a trace to a fresh admission queue on a virtual clock.
+ *
+ * <p>A started call runs for its recorded run time, or for the median of its kind in the trace if none was recorded; a
+ * kind that never ran takes the median of all kinds that did. A repeatable call is given up at its deadline, as the
+ * node does, and then frees its slot; a call that runs at most once holds it to the end. A waiting call whose caller
+ * went away when it was recorded is cancelled at the same time. What entry nodes held back is not in the trace, so the
+ * replay does not show how they would answer to another admission level, and a drain is not replayed.
+ *
+ * <p>Confined to one thread. The same trace always yields the same outcomes.
+ */
+public final class Replay {
+    private static final long NANOSECONDS = 1000;
+    /** The decisions of a node look at their queue at least this often, in microseconds. */
+    private static final long TICK = 10_000;
+    /** How long the level is followed after the last arrival, in microseconds. */
+    private static final long FOLLOW_UP = 1_000_000;
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparingLong(Event::order));
+    private final Map<CallEntry, OpenCall> open = new HashMap<>();
+    private final Outcomes outcomes = new Outcomes();
+    private final Map<String, Long> medians;
+    private final long fallback;
+    private final AdmissionQueue queue;
+    private final long ticksUntil;
+    private long order;
+    private long now;
+
+    private Replay(Trace trace, OptionalInt slots) {
+        medians = trace.medianRunTimes();
+        fallback = medians.values().stream()
+                .sorted()
+                .skip(medians.size() / 2)
+                .findFirst()
+                .orElse(0L);
+        queue = new AdmissionQueue(service(trace, trace.header().limits(), slots), this::refused);
+        long lastArrival = 0;
+        for (RecordedCall call : trace.calls()) {
+            lastArrival = Math.max(lastArrival, call.arrival().time());
+            at(call.arrival().time(), () -> arrive(call));
+        }
+        for (TraceEvent.LimitsChanged change : trace.changes()) {
+            at(change.time(), () -> {
+                queue.configure(service(trace, change.limits(), slots));
+                startReady();
+            });
+        }
+        ticksUntil = lastArrival + FOLLOW_UP;
+        at(0, this::tick);
+    }
+
+    /** What happens at a time, in microseconds. */
+    private record Event(long time, long order, Runnable action) {}
+
+    /**
+     * Replays a trace.
+     *
+     * @param slots the number of slots in place of the recorded one, if present
+     */
+    public static Outcomes run(Trace trace, OptionalInt slots) {
+        Replay replay = new Replay(trace, slots);
+        while (!replay.events.isEmpty()) {
+            Event event = replay.events.remove();
+            replay.now = event.time();
+            event.action().run();
+        }
+        return replay.outcomes;
+    }
+
+    private static Service service(Trace trace, TraceEvent.Limits limits, OptionalInt slots) {
+        return limits.withSlots(slots.orElse(limits.slots()))
+                .service(trace.header().service());
+    }
+
+    private void at(long time, Runnable action) {
+        events.add(new Event(time, order++, action));
+    }
+
+    private long nanoseconds() {
+        return now * NANOSECONDS;
+    }
+
+    private void arrive(RecordedCall call) {
+        TraceEvent.Arrival arrival = call.arrival();
+        outcomes.tally(arrival).offered();
+        CallEntry entry = new CallEntry(
+                arrival.call(),
+                Priority.of(arrival.priorityClass(), arrival.cohort()),
+                arrival.kind(),
+                arrival.atMostOnce(),
+                arrival.deadline() * NANOSECONDS,
+                nanoseconds());
+        open.put(entry, new OpenCall(call));
+        if (queue.offer(entry, nanoseconds()) == Admission.START) {
+            start(entry);
+        }
+        call.refused()
+                .filter(refused -> callerWentAway(refused.code()))
+                .ifPresent(refused -> at(Math.max(now, refused.time()), () -> cancel(entry)));
+        startReady();
+    }
+
+    private static boolean callerWentAway(int code) {
+        return code == ResultCode.CANCELLED_BEFORE_RUN.number() || code == ResultCode.CANCELLED_RUNNING.number();
+    }
+
+    private void cancel(CallEntry entry) {
+        if (queue.cancel(entry, nanoseconds())) {
+            open.remove(entry).refuse(ResultCode.CANCELLED_BEFORE_RUN.number());
+        }
+    }
+
+    private void startReady() {
+        queue.startable(nanoseconds()).forEach(this::start);
+        outcomes.level(queue.level(), now);
+    }
+
+    private void start(CallEntry entry) {
+        OpenCall call = open.get(entry);
+        TraceEvent.Arrival arrival = call.recorded.arrival();
+        outcomes.started(arrival, now);
+        CallEnd how = call.recorded.end().map(TraceEvent.End::how).orElse(CallEnd.ANSWERED);
+        long end = now + runTime(call.recorded);
+        if (end <= arrival.deadline()) {
+            at(end, () -> end(entry, how));
+            return;
+        }
+        at(arrival.deadline(), () -> late(entry));
+        if (arrival.atMostOnce()) {
+            at(end, () -> end(entry, how));
+        }
+    }
+
+    private long runTime(RecordedCall call) {
+        return call.end()
+                .map(TraceEvent.End::runTime)
+                .orElseGet(() -> medians.getOrDefault(call.arrival().kind(), fallback));
+    }
+
+    private void late(CallEntry entry) {
+        OpenCall call = open.get(entry);
+        if (call == null) {
+            return;
+        }
+        call.refuse(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER.number());
+        if (!entry.atMostOnce()) {
+            end(entry, CallEnd.CANCELLED);
+        }
+    }
+
+    private void end(CallEntry entry, CallEnd how) {
+        OpenCall call = open.remove(entry);
+        if (call == null) {
+            return;
+        }
+        queue.finished(entry, how, nanoseconds());
+        if (how == CallEnd.ANSWERED) {
+            call.answer();
+        } else {
+            call.recorded.refused().ifPresent(refused -> call.refuse(refused.code()));
+        }
+        startReady();
+    }
+
+    private void refused(AdmissionQueue.Refused refused) {
+        open.remove(refused.entry()).refuse(refused.refusal().code().number());
+    }
+
+    private void tick() {
+        startReady();
+        for (CallEntry entry : queue.overlong(nanoseconds())) {
+            open.get(entry).refuse(ResultCode.RAN_TOO_LONG.number());
+            end(entry, CallEnd.CANCELLED);
+        }
+        if (now < ticksUntil) {
+            at(now + TICK, this::tick);
+        }
+    }
+
+    /** A call from its arrival until its slot is free; the first reply counts. */
+    private final class OpenCall {
+        private final RecordedCall recorded;
+        private boolean replied;
+
+        OpenCall(RecordedCall recorded) {
+            this.recorded = recorded;
+        }
+
+        private void refuse(int code) {
+            if (!replied) {
+                replied = true;
+                outcomes.tally(recorded.arrival()).refused(code, now);
+            }
+        }
+
+        private void answer() {
+            if (!replied) {
+                replied = true;
+                outcomes.tally(recorded.arrival()).answered();
+            }
+        }
+    }
+}
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -81,6 +81,7 @@
         if (service.isEmpty()) {
             return;
         }
+        environment.recorder().limits(service.get(), environment.now());
         if (queue == null) {
             queue = new AdmissionQueue(service.get(), this::refusedByQueue);
             return;
@@ -104,6 +105,7 @@
             return () -> cancelWaiter(message.ticket().orElse(""), reply);
         }
         calls.put(call.entry, call);
+        environment.recorder().arrived(call.entry, message, now);
         if (queue.offer(call.entry, now) == Admission.START) {
             start(call, now);
         }
@@ -347,6 +349,7 @@
     private void ended(ServedCall call, CallEnd end, long now) {
         calls.remove(call.entry);
         closeContext(call);
+        environment.recorder().ended(call.entry, end, now);
         queue.finished(call.entry, end, now);
         startReady(now);
     }
@@ -389,6 +392,7 @@
         long now = environment.now();
         Refusal refusal = Refusal.of(code(stage), detail);
         if (stage == BackendServer.FailureStage.BEFORE_SENT) {
+            environment.recorder().ended(call.entry, CallEnd.FAILED, now);
             queue.finished(call.entry, CallEnd.FAILED, now);
             refusedBeforeHandover(call, refusal, now);
             startReady(now);
@@ -425,6 +429,7 @@
         if (call.hop != null) {
             call.hop.end(call.message.requestId(), refusal.code());
         }
+        environment.recorder().refused(call.entry, refusal, now);
         environment.recorder().served(call.entry, call.message, refusal.code(), now);
     }
 
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -1,8 +1,10 @@
 package org.plantainshunt.node;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -34,6 +36,7 @@
 import org.plantainshunt.protocol.PeerHandler;
 import org.plantainshunt.telemetry.SpanTracer;
 import org.plantainshunt.telemetry.Telemetry;
+import org.plantainshunt.telemetry.TraceFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ratpack.exec.ExecController;
@@ -90,7 +93,7 @@
         this.settings = settings;
         RandomGenerator random = new SecureRandom();
         incarnation = random.nextLong(1, Long.MAX_VALUE);
-        telemetry = new Telemetry(metrics);
+        telemetry = new Telemetry(metrics, traceFile(settings));
         tracer = settings.spanFile().isPresent()
                 ? new SpanTracer(settings.spanFile().get(), settings.name())
                 : HopTracer.off();
@@ -137,6 +140,13 @@
         LOGGER.info("node {} of service {} started, incarnation {}", settings.name(), settings.service(), incarnation);
     }
 
+    private static Optional<TraceFile> traceFile(NodeSettings settings) throws IOException {
+        if (settings.decisionFile().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new TraceFile(settings.decisionFile().get(), settings.name(), TraceFile.LARGEST_FILE_BYTES));
+    }
+
     NodeSettings settings() {
         return settings;
     }
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.telemetry;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
@@ -8,10 +9,12 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import net.logstash.logback.argument.StructuredArguments;
+import org.plantainshunt.admission.CallEnd;
 import org.plantainshunt.admission.CallEntry;
 import org.plantainshunt.call.CallRecorder;
 import org.plantainshunt.call.CallReply;
 import org.plantainshunt.call.InboundCall;
+import org.plantainshunt.configuration.Service;
 import org.plantainshunt.duty.Duty;
 import org.plantainshunt.protocol.CallMessage;
 import org.plantainshunt.result.Refusal;
@@ -20,10 +23,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Counts and logs what the decisions did.
+ * Counts and logs what the decisions did, and records the decisions of the serving side if there is a file for them.
  *
- * <p>Log lines are written by a thread of their own; when its ring is full, lines are dropped and counted, so that a
- * slow log never delays a call. Safe for use by any thread.
+ * <p>Lines are written by a thread of their own; when its ring is full, lines are dropped and counted, so that a
+ * slow file never delays a call. Safe for use by any thread.
  */
 public final class Telemetry implements CallRecorder, AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger("refusal");
@@ -37,11 +40,23 @@
     private final Timer queueTime;
     private final Counter retries;
     private final Counter droppedLines;
+    private final Optional<DecisionTrace> trace;
 
     /** Starts the thread that writes log lines. */
     public Telemetry(MetricRegistry registry) {
+        this(registry, Optional.empty());
+    }
+
+    /**
+     * Starts the thread that writes log lines and the trace of decisions.
+     *
+     * @param file the trace of decisions, which is closed with this object, or nothing to record none
+     */
+    public Telemetry(MetricRegistry registry, Optional<TraceFile> file) {
         this.registry = registry;
-        this.duty = new Duty("telemetry", RING_SIZE, TICK, () -> {});
+        this.duty = new Duty("telemetry", RING_SIZE, TICK, () -> file.ifPresent(TraceFile::flush));
+        this.trace = file.map(
+                target -> new DecisionTrace(target, duty::offer, registry.counter("telemetry.dropped-decisions")));
         this.entryTime = registry.timer("entry.time", Telemetry::timer);
         this.servingTime = registry.timer("serving.time", Telemetry::timer);
         this.queueTime = registry.timer("serving.queue-time", Telemetry::timer);
@@ -53,8 +68,29 @@
         return new Timer(LockFreeExponentiallyDecayingReservoir.builder().build());
     }
 
+    @Override
+    public void limits(Service service, long now) {
+        trace.ifPresent(recorder -> recorder.limits(service, now));
+    }
+
+    @Override
+    public void arrived(CallEntry entry, CallMessage message, long now) {
+        trace.ifPresent(recorder -> recorder.arrived(entry, message.requestId(), now));
+    }
+
+    @Override
+    public void refused(CallEntry entry, Refusal refusal, long now) {
+        trace.ifPresent(recorder -> recorder.refused(entry, refusal, now));
+    }
+
+    @Override
+    public void ended(CallEntry entry, CallEnd end, long now) {
+        trace.ifPresent(recorder -> recorder.ended(entry, end, now));
+    }
+
     @Override
     public void started(CallEntry entry, CallMessage message, long now) {
+        trace.ifPresent(recorder -> recorder.started(entry, now));
         queueTime.update(now - entry.arrived(), TimeUnit.NANOSECONDS);
     }
 
@@ -88,6 +124,7 @@
     @Override
     public void close() {
         duty.close();
+        trace.ifPresent(DecisionTrace::close);
     }
 
     private void log(String requestId, String service, String kind, Refusal refusal, int retries) {
