Replay a trace of decisions with the tool

Cause: a trace is of use only if the same arrivals can be put through the admission queue again, for example with other slots.

Ruled out: a reader in core, because core does not depend on Jackson; and cutting a replay at a recorded refusal, which would hide what other limits do.

--- a/cli/src/main/java/org/plantainshunt/cli/CommandLine.java
+++ b/cli/src/main/java/org/plantainshunt/cli/CommandLine.java
@@ -74,7 +74,8 @@
     private static ArgumentParser parser() {
         ArgumentParser parser = ArgumentParsers.newFor("plantainshunt")
                 .build()
-                .description("Checks, compares and explains configuration documents and shows the state of nodes.")
+                .description("Checks, compares and explains configuration documents, shows the state of nodes and"
+                        + " replays their traces.")
                 .epilog(EXIT_CODES);
         Subparsers subparsers = parser.addSubparsers().title("commands").metavar("COMMAND");
         Subparser check = subparser(subparsers, "check", "check a document and report all errors", Commands::check);
@@ -85,6 +86,7 @@
         addExplain(subparsers);
         Subparser status = subparser(subparsers, "status", "show the state of nodes", Commands::status);
         status.addArgument("node").nargs("+").metavar("NODE").help("HOST:PORT of a node's admin port");
+        addReplay(subparsers);
         subparser(subparsers, "codes", "list the result codes", Commands::codes);
         return parser;
     }
@@ -104,6 +106,16 @@
                 .help("a result code, as in the header Plantainshunt-Result");
     }
 
+    private static void addReplay(Subparsers subparsers) {
+        Subparser replay = subparser(
+                subparsers, "replay", "replay the trace of a node's decisions, with other limits", Commands::replay);
+        addFile(replay, "trace", "the file of [trace] decisions, plain or .gz");
+        replay.addArgument("--slots")
+                .type(Integer.class)
+                .metavar("N")
+                .help("the number of slots in place of the recorded one");
+    }
+
     private static Subparser subparser(Subparsers subparsers, String name, String help, Command command) {
         Subparser subparser =
                 subparsers.addParser(name).help(help).description(help).epilog(EXIT_CODES);
--- a/cli/src/main/java/org/plantainshunt/cli/Commands.java
+++ b/cli/src/main/java/org/plantainshunt/cli/Commands.java
@@ -1,15 +1,20 @@
 package org.plantainshunt.cli;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.Collectors;
 
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.replay.Trace;
 import org.plantainshunt.result.ResultCode;
 
 /** The commands of the tool, in the form of {@link Command}. */
 final class Commands {
+    /** The largest value that a document allows. */
+    private static final int LARGEST_SLOTS = 100_000;
+
     private Commands() {}
 
     static Report check(Namespace arguments) throws CommandException, InvalidFileException {
@@ -33,6 +38,15 @@
         return new StatusReader().read(arguments.getList("node"));
     }
 
+    static Report replay(Namespace arguments) throws CommandException {
+        Optional<Integer> slots = Optional.ofNullable(arguments.getInt("slots"));
+        if (slots.isPresent() && (slots.get() < 1 || slots.get() > LARGEST_SLOTS)) {
+            throw new CommandException(ExitCode.USAGE, "--slots is not in 1.." + LARGEST_SLOTS + ": " + slots.get());
+        }
+        Trace trace = TraceReader.read(arguments.getString("trace"));
+        return ReplayReport.of(trace, slots.map(OptionalInt::of).orElse(OptionalInt.empty()));
+    }
+
     static Report codes(Namespace arguments) {
         return CodesReport.all();
     }
