Check the stated outcomes, and estimate runs that were cut

Replay ran a call that had been cancelled at its deadline for its recorded time and cancelled it again, so no earlier start could answer it.

Ruled out: a fault of the admission queue; all critical calls were started and their counts of 1202 equalled the recorded ones. The statements and the traces stay as they were committed.

Change: a run that was cut shows only a lower bound, so it takes the longer of that and the median of the answered calls of its kind. A call whose caller went away is now also cancelled while it runs.

--- a/cli/src/main/java/org/plantainshunt/cli/ReplayReport.java
+++ b/cli/src/main/java/org/plantainshunt/cli/ReplayReport.java
@@ -24,7 +24,7 @@
  * @param queueDelay the times from arrival to hand-over in the replay
  * @param recordedQueueDelay the times from arrival to hand-over in the trace
  * @param lowestLevel the lowest admission level in the replay
- * @param estimatedRunTimes the number of calls without recorded run time
+ * @param estimatedRunTimes the number of calls that did not run to their end when recorded
  * @param droppedLines the number of lines that the node could not write
  * @param strayLines the number of lines about calls whose arrival is missing
  * @param full whether recording stopped because the file was full
@@ -84,7 +84,7 @@
                 QueueDelay.of(replayed),
                 QueueDelay.of(recorded),
                 replayed.lowestLevel().orElseThrow(),
-                trace.callsWithoutRunTime(),
+                trace.callsNotRunToEnd(),
                 trace.droppedLines(),
                 trace.strayLines(),
                 trace.full());
@@ -115,7 +115,8 @@
                 .append(delay(queueDelay.p99(), recordedQueueDelay.p99()))
                 .append('\n');
         text.append("lowest admission level ").append(lowestLevel).append('\n');
-        text.append(estimatedRunTimes).append(" calls without recorded run time; the median of their kind stands in\n");
+        text.append(estimatedRunTimes)
+                .append(" calls did not run to their end when recorded; they take at least the median of their kind\n");
         if (droppedLines > 0 || strayLines > 0 || full) {
             text.append("the trace is incomplete: ").append(droppedLines).append(" lines dropped, ");
             text.append(strayLines).append(" lines without arrival");
--- a/core/src/main/java/org/plantainshunt/replay/RecordedCall.java
+++ b/core/src/main/java/org/plantainshunt/replay/RecordedCall.java
@@ -41,4 +41,9 @@
                 && end.filter(event -> event.how() == CallEnd.ANSWERED && event.time() <= arrival.deadline())
                         .isPresent();
     }
+
+    /** Returns whether the call ran to its end, so that its run time is that of the work. */
+    boolean ranToEnd() {
+        return end.filter(event -> event.how() != CallEnd.CANCELLED).isPresent();
+    }
 }
--- a/core/src/main/java/org/plantainshunt/replay/Replay.java
+++ b/core/src/main/java/org/plantainshunt/replay/Replay.java
@@ -17,11 +17,13 @@
 /**
  * Feeds the arrivals of a trace to a fresh admission queue on a virtual clock.
  *
- * <p>A started call runs for its recorded run time, or for the median of its kind in the trace if none was recorded; a
- * kind that never ran takes the median of all kinds that did. A repeatable call is given up at its deadline, as the
- * node does, and then frees its slot; a call that runs at most once holds it to the end. A waiting call whose caller
- * went away when it was recorded is cancelled at the same time. What entry nodes held back is not in the trace, so the
- * replay does not show how they would answer to another admission level, and a drain is not replayed.
+ * <p>A started call runs for its recorded run time, or for the median of its kind in the trace if it never ran. A call
+ * that was cancelled while it ran shows only a lower bound, so it runs for the longer of that and the median, and is
+ * answered if its deadline allows. Kinds that were never answered take the median of the other kinds' medians. A
+ * repeatable call is given up at its deadline, as the node does, and then frees its slot; a call that runs at most once
+ * holds it to the end. A call whose caller went away when it was recorded is cancelled at the same time. What entry
+ * nodes held back is not in the trace, so the replay does not show how they would answer to another admission level,
+ * and a drain is not replayed.
  *
  * <p>Confined to one thread. The same trace always yields the same outcomes.
  */
@@ -124,6 +126,9 @@
     private void cancel(CallEntry entry) {
         if (queue.cancel(entry, nanoseconds())) {
             open.remove(entry).refuse(ResultCode.CANCELLED_BEFORE_RUN.number());
+        } else if (open.containsKey(entry) && !entry.atMostOnce()) {
+            open.get(entry).refuse(ResultCode.CANCELLED_RUNNING.number());
+            end(entry, CallEnd.CANCELLED);
         }
     }
 
@@ -136,7 +141,8 @@
         OpenCall call = open.get(entry);
         TraceEvent.Arrival arrival = call.recorded.arrival();
         outcomes.started(arrival, now);
-        CallEnd how = call.recorded.end().map(TraceEvent.End::how).orElse(CallEnd.ANSWERED);
+        CallEnd how =
+                call.recorded.ranToEnd() ? call.recorded.end().orElseThrow().how() : CallEnd.ANSWERED;
         long end = now + runTime(call.recorded);
         if (end <= arrival.deadline()) {
             at(end, () -> end(entry, how));
@@ -149,9 +155,10 @@
     }
 
     private long runTime(RecordedCall call) {
-        return call.end()
-                .map(TraceEvent.End::runTime)
-                .orElseGet(() -> medians.getOrDefault(call.arrival().kind(), fallback));
+        long recorded = call.end().map(TraceEvent.End::runTime).orElse(0L);
+        return call.ranToEnd()
+                ? recorded
+                : Math.max(recorded, medians.getOrDefault(call.arrival().kind(), fallback));
     }
 
     private void late(CallEntry entry) {
--- a/core/src/main/java/org/plantainshunt/replay/Trace.java
+++ b/core/src/main/java/org/plantainshunt/replay/Trace.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.UnaryOperator;
 
+import org.plantainshunt.admission.CallEnd;
 import org.plantainshunt.admission.Priority;
 
 /**
@@ -72,9 +73,9 @@
         return full;
     }
 
-    /** Returns the number of calls that were never handed over, or whose end is not in the trace. */
-    public long callsWithoutRunTime() {
-        return calls.values().stream().filter(call -> call.end().isEmpty()).count();
+    /** Returns the number of calls that never ran, were cancelled while they ran, or whose end is not in the trace. */
+    public long callsNotRunToEnd() {
+        return calls.values().stream().filter(call -> !call.ranToEnd()).count();
     }
 
     Iterable<RecordedCall> calls() {
@@ -85,11 +86,12 @@
         return changes;
     }
 
-    /** Returns the median recorded run time of each kind, in microseconds; kinds that never ran are missing. */
+    /** Returns the median run time of each kind over its answered calls, in microseconds; kinds without are missing. */
     Map<String, Long> medianRunTimes() {
         Map<String, List<Long>> byKind = new HashMap<>();
         for (RecordedCall call : calls.values()) {
-            call.end().ifPresent(end -> byKind.computeIfAbsent(call.arrival().kind(), unused -> new ArrayList<>())
+            call.end().filter(end -> end.how() == CallEnd.ANSWERED).ifPresent(end -> byKind.computeIfAbsent(
+                            call.arrival().kind(), unused -> new ArrayList<>())
                     .add(end.runTime()));
         }
         Map<String, Long> medians = new HashMap<>();
--- a/core/src/test/java/org/plantainshunt/replay/ReplayTest.java
+++ b/core/src/test/java/org/plantainshunt/replay/ReplayTest.java
@@ -46,6 +46,20 @@
         assertEquals(30, Math.round(outcomes.queueDelay(100) / 1000.0));
     }
 
+    /** A run that was cut at its deadline would otherwise never be answered, however early the replay starts it. */
+    @Test
+    void callsThatWereCutTakeAtLeastTheMedian() throws InvalidTraceException {
+        ran("a", 0, false, 100, 40);
+        arrive("b", 100, false, 100);
+        events.add(new TraceEvent.Handover(195_000, "b"));
+        events.add(new TraceEvent.Refused(200_000, "b", 1202, "no whole answer in time"));
+        events.add(new TraceEvent.End(200_000, "b", CallEnd.CANCELLED, 5_000));
+        ran("c", 110, false, 100, 10);
+        Outcomes outcomes = replay(OptionalInt.empty());
+        assertEquals(3, tally(outcomes).getAnswered());
+        assertEquals(30, Math.round(outcomes.queueDelay(100) / 1000.0));
+    }
+
     @Test
     void onlyRepeatableCallsFreeTheirSlotAtTheDeadline() throws InvalidTraceException {
         ran("a", 0, false, 50, 80);
