--- a/node/src/test/java/org/plantainshunt/node/NodeUnderTest.java
+++ b/node/src/test/java/org/plantainshunt/node/NodeUnderTest.java
@@ -63,6 +63,10 @@
     final Node node;
 
     NodeUnderTest(FakeHttpServer.Answerer answerer, Optional<Path> spans) throws Exception {
+        this(answerer, spans, Optional.empty());
+    }
+
+    NodeUnderTest(FakeHttpServer.Answerer answerer, Optional<Path> spans, Optional<Path> decisions) throws Exception {
         backendServer = new FakeHttpServer((request, out) -> {
             if (request.path().equals("/plantainshunt/health")) {
                 return answer(out, "serving");
@@ -85,7 +89,7 @@
                 List.of(),
                 "a secret of the test fleet",
                 spans,
-                Optional.empty());
+                decisions);
         node = new Node(settings);
         await(() -> call(RawCaller.post("/front/browse/ok", "")).result() == 1000);
     }
