Test at-most-once and honest refusals over killed, frozen and cut processes

Cause: the promises of section 1.2 were only tested in one process with fakes. Nothing showed that they hold while real nodes and backend servers are killed, frozen past the deadline and restarted, or while a link breaks during a call.

Change: Fleet can place a relay in each link between nodes, to backend servers and to the platform. CutConnectionsTest cuts a link before the request, during the run and within the answer. Records and logs stay in bench/target/fleets.

Seen and left: a backend server connection that is reset within the answer is reported as 1200, where section 7 of the design names 1203. The HTTP client of the node aggregates the answer and does not say that it had begun. The run state "unknown" is right, and the test asserts that.

--- a/bench/src/main/java/org/plantainshunt/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/Fleet.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 import org.plantainshunt.configuration.Kind;
@@ -33,11 +34,14 @@
     private final List<FleetVm> vms = new ArrayList<>();
     private final FleetPlatform platform;
     private final ChildProcess platformProcess;
+    private final boolean withRelays;
+    private Optional<FleetRelays> relays = Optional.empty();
 
-    private Fleet(FleetPlan plan, Path directory) throws IOException {
+    private Fleet(FleetPlan plan, Path directory, boolean withRelays) throws IOException {
         this.plan = plan;
         this.directory = directory;
-        Endpoint endpoint = new Endpoint("127." + plan.addressBlock() + ".0.1", PLATFORM_PORT);
+        this.withRelays = withRelays;
+        Endpoint endpoint = new Endpoint(platformHost(1), PLATFORM_PORT);
         this.platform = new FleetPlatform(endpoint, http);
         this.platformProcess =
                 launch("platform", Programs.standin(), List.of("platform", "--listen", endpoint.toString()));
@@ -51,7 +55,23 @@
      * @throws IOException if a process cannot be started
      */
     public static Fleet start(FleetPlan plan, Path directory) throws IOException, InterruptedException {
-        Fleet fleet = new Fleet(plan, directory);
+        return start(plan, directory, false);
+    }
+
+    /**
+     * Does the same with a relay in each link between nodes, to backend servers and to the platform.
+     *
+     * @param plan what to start
+     * @param directory an existing directory for settings, output and records
+     * @throws IOException if a process cannot be started
+     */
+    public static Fleet startWithRelays(FleetPlan plan, Path directory) throws IOException, InterruptedException {
+        return start(plan, directory, true);
+    }
+
+    private static Fleet start(FleetPlan plan, Path directory, boolean withRelays)
+            throws IOException, InterruptedException {
+        Fleet fleet = new Fleet(plan, directory, withRelays);
         try {
             fleet.begin();
             return fleet;
@@ -71,6 +91,11 @@
         return platform;
     }
 
+    /** Returns the relays of a fleet that was started with them. */
+    public FleetRelays relays() {
+        return relays.orElseThrow();
+    }
+
     /** Returns all VMs, service by service. */
     public List<FleetVm> vms() {
         return List.copyOf(vms);
@@ -149,6 +174,9 @@
                 vm.killAll();
             }
             platformProcess.kill();
+            if (relays.isPresent()) {
+                relays.get().kill();
+            }
         } catch (InterruptedException interrupted) {
             // The shutdown hook kills what is left.
             Thread.currentThread().interrupt();
@@ -159,9 +187,16 @@
         return http;
     }
 
+    /** Returns an address outside those of VMs. */
+    String platformHost(int number) {
+        return "127." + plan.addressBlock() + ".0." + number;
+    }
+
     ChildProcess launchNode(FleetVm vm) throws IOException {
         Path settings = directory.resolve(vm.name() + ".ini");
-        Files.writeString(settings, NodeSettingsText.of(vm, platform.endpoint(), seeds(), SHARED_SECRET));
+        Endpoint platformLink =
+                relays.map(links -> links.platformEndpoint(vm.dataCentre())).orElse(platform.endpoint());
+        Files.writeString(settings, NodeSettingsText.of(vm, platformLink, seeds(), SHARED_SECRET));
         return launch(vm.name() + "-node", Programs.node(), List.of("--settings", settings.toString()));
     }
 
@@ -205,6 +240,10 @@
         for (FleetVm vm : vms) {
             vm.startBackendServer();
         }
+        if (withRelays) {
+            relays = Optional.of(new FleetRelays(this));
+            relays.get().awaitReady();
+        }
         awaitPlatform();
         platform.publish(plan.document().bytes());
         platform.publishVmList(vms);
@@ -226,7 +265,8 @@
                         service.name() + "-" + (index + 1),
                         service.name(),
                         plan.dataCentres().get(place),
-                        address));
+                        address,
+                        withRelays));
             }
         }
     }
@@ -241,14 +281,14 @@
         }
     }
 
-    private ChildProcess launch(String name, List<String> program, List<String> options) throws IOException {
+    ChildProcess launch(String name, List<String> program, List<String> options) throws IOException {
         List<String> command = new ArrayList<>(program);
         command.addAll(options);
         return ChildProcess.start(name, command, directory.resolve(name + ".out"));
     }
 
     private List<Endpoint> seeds() {
-        return vms.stream().limit(SEEDS).map(FleetVm::innerAddress).toList();
+        return vms.stream().limit(SEEDS).map(FleetVm::listedAddress).toList();
     }
 
     private Path recordFile(FleetVm vm) {
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetPlatform.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetPlatform.java
@@ -61,8 +61,8 @@
             text.append("\n[vm ").append(vm.name()).append("]\n");
             text.append("service = ").append(vm.service()).append('\n');
             text.append("data-centre = ").append(vm.dataCentre()).append('\n');
-            text.append("address = ").append(vm.innerAddress().host()).append('\n');
-            text.append("inner-port = ").append(vm.innerAddress().port()).append('\n');
+            text.append("address = ").append(vm.listedAddress().host()).append('\n');
+            text.append("inner-port = ").append(vm.listedAddress().port()).append('\n');
             text.append("state = ").append(vm.leaving() ? "leaving" : "live").append('\n');
         }
         http.put(endpoint, "control/vm-list", text.toString().getBytes(StandardCharsets.UTF_8));
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/FleetVm.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/FleetVm.java
@@ -18,22 +18,26 @@
     private static final int INNER_PORT = 7003;
     private static final int ADMIN_PORT = 7004;
     private static final int BACKEND_SERVER_PORT = 7005;
+    private static final int RELAYED_INNER_PORT = 7013;
+    private static final int RELAYED_BACKEND_SERVER_PORT = 7015;
 
     private final Fleet fleet;
     private final String name;
     private final String service;
     private final DataCentre dataCentre;
     private final String address;
+    private final boolean relayed;
     private Optional<ChildProcess> backendServer = Optional.empty();
     private Optional<ChildProcess> node = Optional.empty();
     private boolean leaving;
 
-    FleetVm(Fleet fleet, String name, String service, DataCentre dataCentre, String address) {
+    FleetVm(Fleet fleet, String name, String service, DataCentre dataCentre, String address, boolean relayed) {
         this.fleet = fleet;
         this.name = name;
         this.service = service;
         this.dataCentre = dataCentre;
         this.address = address;
+        this.relayed = relayed;
     }
 
     /** Returns the name of the VM, which is also the name of its node and of its backend server. */
@@ -81,6 +85,16 @@
         return new Endpoint(address, BACKEND_SERVER_PORT);
     }
 
+    /** Returns where the VM list says that other nodes connect: the relay before the node, if there is one. */
+    Endpoint listedAddress() {
+        return relayed ? new Endpoint(address, RELAYED_INNER_PORT) : innerAddress();
+    }
+
+    /** Returns where the node connects to its backend server: the relay before it, if there is one. */
+    Endpoint backendServerAddressForNode() {
+        return relayed ? new Endpoint(address, RELAYED_BACKEND_SERVER_PORT) : backendServerAddress();
+    }
+
     /** Returns whether the VM list says that the VM is leaving. */
     public boolean leaving() {
         return leaving;
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/NodeSettingsText.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/NodeSettingsText.java
@@ -45,7 +45,7 @@
                         vm.outboundAddress(),
                         vm.innerAddress(),
                         vm.adminAddress(),
-                        vm.backendServerAddress(),
+                        vm.backendServerAddressForNode(),
                         platform,
                         peers,
                         sharedSecret);
--- /dev/null
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/CutConnectionsTest.java
@@ -0,0 +1,225 @@
+package org.plantainshunt.bench.fleet;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.standins.Endpoint;
+import org.plantainshunt.standins.KindLoad;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards at-most-once, not-run-honest and whole-answer where a connection is cut at a known stage of a call. */
+class CutConnectionsTest {
+    private static final Duration SOON = Duration.ofSeconds(5);
+    /** Stretches the 40 ms of the kind, so that a cut falls into the run, and stays within its deadline of 1 s. */
+    private static final double SLOW_FACTOR = 8;
+    /** The answer takes about half a second over the narrowed link. */
+    private static final int LONG_ANSWER_BYTES = 120_000;
+
+    private static final long NARROW_BITS_PER_SECOND = 2_000_000;
+    private static final int PART_OF_ANSWER_BYTES = 20_000;
+
+    private static Fleet fleet;
+    private static KindLoad store;
+    private static KindLoad lookup;
+
+    private final RecordingCaller caller = new RecordingCaller();
+
+    @BeforeAll
+    static void startFleet() throws Exception {
+        FleetDocument document = FleetTesting.document();
+        FleetPlan plan = FleetPlan.small(document).withVmsPerService(1);
+        fleet = Fleet.startWithRelays(plan, FleetTesting.directory("cut-connections"));
+        fleet.awaitReady(FleetTesting.START);
+        store = FleetTesting.load(document, "archive", "store");
+        lookup = FleetTesting.load(document, "archive", "lookup");
+        awaitServing();
+    }
+
+    @AfterAll
+    static void stopFleet() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    @AfterEach
+    void judge() throws Exception {
+        FleetTesting.assertHonest(fleet, caller.attempts());
+    }
+
+    /** Guards against "not run" for a ticket of which the entry node cannot know whether it was delivered before. */
+    @Test
+    void callsATicketUnknownWhenTheNodeThatIssuedItCannotBeReached() throws Exception {
+        String ticket = ticket("node-before-send");
+        relay().cut("", target().innerAddress().toString());
+        assertEquals(
+                ResultCode.OUTCOME_UNKNOWN.number(),
+                send("node-before-send", ticket).result());
+        RecordingCaller.Told repeatable = caller.send(entry(), lookup, "lookup-before-send", "");
+        assertTrue(repeatable.nodeSaysNotRun(), repeatable.toString());
+        heal();
+        assertTrue(send("node-before-send", ticket).whole());
+        assertEquals(1, received("node-before-send"));
+        assertEquals(0, received("lookup-before-send"));
+    }
+
+    /** Guards against a second run, or a wrong verdict, after the link between nodes broke during the run. */
+    @Test
+    void givesTheOutcomeToARepeatAfterTheLinkBetweenNodesBrokeDuringTheRun() throws Exception {
+        String ticket = ticket("node-after-send");
+        target().slowBy(SLOW_FACTOR);
+        CompletableFuture<RecordingCaller.Told> first = sendLater(store, "node-after-send", ticket);
+        FleetTesting.await("the request runs", SOON, () -> received("node-after-send") == 1);
+        relay().cut("", target().innerAddress().toString());
+        assertEquals(
+                ResultCode.OUTCOME_UNKNOWN.number(),
+                first.get(5, TimeUnit.SECONDS).result());
+        heal();
+        RecordingCaller.Told repeat = send("node-after-send", ticket);
+        assertTrue(repeat.whole(), repeat.toString());
+        assertEquals(1, received("node-after-send"));
+    }
+
+    /** Guards against a cut answer between nodes that passes for a whole one, and a second run by the repeat. */
+    @Test
+    void reportsAnAnswerCutBetweenNodesAndRepeatsItWhole() throws Exception {
+        KindLoad large = FleetTesting.withAnswerBytes(store, LONG_ANSWER_BYTES);
+        String ticket = ticket("node-mid-answer");
+        cutInAnswer(large, "node-mid-answer", ticket, target().innerAddress());
+        RecordingCaller.Told repeat = caller.send(entry(), large, "node-mid-answer", ticket);
+        assertEquals(ResultCode.ANSWERED_AGAIN.number(), repeat.result(), repeat.toString());
+        assertTrue(repeat.whole(), repeat.toString());
+        assertEquals(1, received("node-mid-answer"));
+    }
+
+    /** Guards against a request that is handed over later, after its first connection was reset before it arrived. */
+    @Test
+    void neverHandsOverLaterWhatTheLinkToTheBackendServerLost() throws Exception {
+        String ticket = ticket("server-before-send");
+        relay().cut("", target().backendServerAddress().toString());
+        // The relay accepts before it resets, so the node has connected and cannot know that nothing arrived.
+        assertEquals(
+                ResultCode.OUTCOME_UNKNOWN.number(),
+                send("server-before-send", ticket).result());
+        heal();
+        assertEquals("unknown", send("server-before-send", ticket).attempt().run());
+        assertEquals(0, received("server-before-send"));
+    }
+
+    /** Guards against a second hand-over after the connection to the backend server broke during the run. */
+    @Test
+    void neverHandsOverAgainAfterTheLinkToTheBackendServerBrokeDuringTheRun() throws Exception {
+        String ticket = ticket("server-after-send");
+        target().slowBy(SLOW_FACTOR);
+        CompletableFuture<RecordingCaller.Told> first = sendLater(store, "server-after-send", ticket);
+        FleetTesting.await("the request runs", SOON, () -> received("server-after-send") == 1);
+        relay().cut("", target().backendServerAddress().toString());
+        assertEquals(
+                ResultCode.OUTCOME_UNKNOWN.number(),
+                first.get(5, TimeUnit.SECONDS).result());
+        heal();
+        assertEquals("unknown", send("server-after-send", ticket).attempt().run());
+        assertEquals(1, received("server-after-send"));
+    }
+
+    /** Guards against a cut answer of a backend server that passes for a whole one. */
+    @Test
+    void reportsAnAnswerCutByTheBackendServer() throws Exception {
+        KindLoad large = FleetTesting.withAnswerBytes(store, LONG_ANSWER_BYTES);
+        String ticket = ticket("server-mid-answer");
+        cutInAnswer(large, "server-mid-answer", ticket, target().backendServerAddress());
+        RecordingCaller.Told repeat = caller.send(entry(), large, "server-mid-answer", ticket);
+        assertEquals("unknown", repeat.attempt().run(), repeat.toString());
+        assertEquals(1, received("server-mid-answer"));
+    }
+
+    /** Guards against work that is lost or run again when its caller's own connection breaks during the run. */
+    @Test
+    void keepsTheOutcomeForACallerThatWentAwayDuringTheRun() throws Exception {
+        String ticket = ticket("caller-went-away");
+        target().slowBy(SLOW_FACTOR);
+        RecordingCaller.Told first = caller.send(entry(), store, "caller-went-away", ticket, Duration.ofMillis(150));
+        assertEquals(0, first.attempt().status());
+        FleetTesting.await("the request runs", SOON, () -> received("caller-went-away") == 1);
+        heal();
+        assertTrue(send("caller-went-away", ticket).whole());
+        assertEquals(1, received("caller-went-away"));
+    }
+
+    /** Sends a request and cuts the link to a target once a part of the answer has passed over it. */
+    private RecordingCaller.Told cutInAnswer(KindLoad large, String workId, String ticket, Endpoint target)
+            throws Exception {
+        relay().narrow(target.toString(), NARROW_BITS_PER_SECOND);
+        long before = relay().bytesFromTargets();
+        CompletableFuture<RecordingCaller.Told> first = sendLater(large, workId, ticket);
+        FleetTesting.await(
+                "a part of the answer has come",
+                SOON,
+                () -> relay().bytesFromTargets() - before > PART_OF_ANSWER_BYTES);
+        relay().cut("", target.toString());
+        RecordingCaller.Told told = first.get(5, TimeUnit.SECONDS);
+        assertEquals("unknown", told.attempt().run(), told.toString());
+        heal();
+        return told;
+    }
+
+    private String ticket(String workId) throws Exception {
+        heal();
+        return caller.send(entry(), store, workId, "").freshTicket().orElseThrow();
+    }
+
+    private RecordingCaller.Told send(String workId, String ticket) throws InterruptedException {
+        return caller.send(entry(), store, workId, ticket);
+    }
+
+    private CompletableFuture<RecordingCaller.Told> sendLater(KindLoad kind, String workId, String ticket) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return caller.send(entry(), kind, workId, ticket);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException("interrupted", interrupted);
+            }
+        });
+    }
+
+    private long received(String workId) throws IOException {
+        return fleet.records().stream()
+                .filter(request -> request.workId().equals(workId))
+                .count();
+    }
+
+    /** Mends all links and waits until calls pass over them again. */
+    private static void heal() throws Exception {
+        relay().heal();
+        target().slowBy(1);
+        awaitServing();
+    }
+
+    private static void awaitServing() throws Exception {
+        RecordingCaller probe = new RecordingCaller();
+        FleetTesting.await("calls pass", Duration.ofSeconds(15), () -> probe.send(entry(), lookup, "probe", "")
+                .whole());
+    }
+
+    private static FleetRelay relay() {
+        return fleet.relays().links();
+    }
+
+    private static FleetVm target() {
+        return fleet.vms("archive").get(0);
+    }
+
+    private static Endpoint entry() {
+        return fleet.vms("recorder").get(0).callerAddress();
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/FleetTesting.java
@@ -0,0 +1,149 @@
+package org.plantainshunt.bench.fleet;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+
+import org.plantainshunt.bench.InvariantJudge;
+import org.plantainshunt.configuration.Kind;
+import org.plantainshunt.result.RunState;
+import org.plantainshunt.standins.AttemptRecord;
+import org.plantainshunt.standins.KindLoad;
+import org.plantainshunt.standins.RequestRecord;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+/** What the tests of fleets share: the document, loads of its kinds, waiting, and the judgement of records. */
+final class FleetTesting {
+    static final Duration START = Duration.ofSeconds(60);
+
+    private static final long POLL_MILLISECONDS = 20;
+    private static final int ANSWER_BYTES = 500;
+    private static final int SHOWN = 10;
+
+    private FleetTesting() {}
+
+    /** Returns an empty directory that outlives the test, so that a failure can be found in its records and logs. */
+    static Path directory(String name) throws IOException {
+        Path directory = Path.of("target", "fleets", name).toAbsolutePath();
+        if (Files.exists(directory)) {
+            try (Stream<Path> files = Files.walk(directory)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+        return Files.createDirectories(directory);
+    }
+
+    static FleetDocument document() throws IOException {
+        return FleetDocument.read(documentText(1).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the document with another version. */
+    static String documentText(long version) throws IOException {
+        try (var resource = FleetTesting.class.getResourceAsStream("/two-services.ini")) {
+            String text = new String(resource.readAllBytes(), StandardCharsets.UTF_8);
+            return text.replace("version = 1\n", "version = " + version + "\n");
+        }
+    }
+
+    static KindLoad load(FleetDocument document, String service, String name) {
+        Kind kind = document.kind(service, name).orElseThrow();
+        return new KindLoad(
+                service,
+                name,
+                kind.priorityClass(),
+                kind.atMostOnce(),
+                1,
+                kind.deadline().toMillis(),
+                ANSWER_BYTES,
+                0);
+    }
+
+    static KindLoad withAnswerBytes(KindLoad load, int bytes) {
+        return new KindLoad(
+                load.service(),
+                load.kind(),
+                load.priorityClass(),
+                load.atMostOnce(),
+                load.rate(),
+                load.deadlineMilliseconds(),
+                bytes,
+                load.bodyBytes());
+    }
+
+    /** Waits until a condition holds; fails with the description if it does not in time. */
+    static void await(String description, Duration time, Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + time.toNanos();
+        while (!condition.call()) {
+            if (System.nanoTime() > end) {
+                fail("not within " + time + ": " + description);
+            }
+            Thread.sleep(POLL_MILLISECONDS);
+        }
+    }
+
+    /** Fails if the records of the backend servers contradict what callers were told or show work that ran twice. */
+    static void assertHonest(Fleet fleet, Collection<AttemptRecord> attempts) throws IOException {
+        List<RequestRecord> requests = fleet.records();
+        InvariantJudge judge = new InvariantJudge((server, kind) -> atMostOnce(fleet, server, kind));
+        List<String> faults = new ArrayList<>();
+        judge.judge(attempts, requests).forEach(violation -> faults.add(violation.toString()));
+        judgeTickets(attempts, requests, faults);
+        judgeRun(attempts, requests, faults);
+        if (!faults.isEmpty()) {
+            fail(faults.size() + " faults:\n" + String.join("\n", faults.subList(0, Math.min(SHOWN, faults.size()))));
+        }
+    }
+
+    private static boolean atMostOnce(Fleet fleet, String server, String kind) {
+        FleetVm vm = fleet.vms().stream()
+                .filter(each -> each.name().equals(server))
+                .findFirst()
+                .orElseThrow();
+        return fleet.plan().document().kind(vm.service(), kind).orElseThrow().atMostOnce();
+    }
+
+    /** A ticket that ran by any delivery must not be called "not run" to any other. */
+    private static void judgeTickets(
+            Collection<AttemptRecord> attempts, List<RequestRecord> requests, List<String> faults) {
+        Map<String, String> ticketOfAttempt = new HashMap<>();
+        for (AttemptRecord attempt : attempts) {
+            if (!attempt.ticket().isEmpty()) {
+                ticketOfAttempt.put(attempt.attemptId(), attempt.ticket());
+            }
+        }
+        Set<String> ran = new HashSet<>();
+        requests.forEach(request -> ran.add(ticketOfAttempt.getOrDefault(request.attemptId(), "none")));
+        for (AttemptRecord attempt : attempts) {
+            boolean toldNotRun = attempt.result() != 0 && attempt.run().equals(RunState.NOT_RUN.label());
+            if (toldNotRun && ran.contains(attempt.ticket())) {
+                faults.add("told " + attempt.result() + " of a ticket that ran: " + attempt);
+            }
+        }
+    }
+
+    private static void judgeRun(
+            Collection<AttemptRecord> attempts, List<RequestRecord> requests, List<String> faults) {
+        Set<String> arrived = new HashSet<>();
+        requests.forEach(request -> arrived.add(request.workId()));
+        for (AttemptRecord attempt : attempts) {
+            if (attempt.run().equals(RunState.RUN.label()) && !arrived.contains(attempt.workId())) {
+                faults.add("told " + attempt.result() + " of work that no backend server received: " + attempt);
+            }
+        }
+    }
+}
