Let a planned stop of a node finish the calls in flight

Cause: Ratpack servers register a shutdown hook of their own, which closed the HTTP servers and the event loops as soon as SIGTERM came, while the node still waited for its calls. Calls in flight were cut (1204, 502 at the backend server), and the node waited in vain for its full 35 s. Besides, a stopping node still took new requests, so under steady load it waited for a moment without calls, and an answer counted as given before it was written.

Change: the hooks of the servers are off. A stopping node refuses new requests without a ticket with 1103 and closes their connections; requests with a ticket are passed on, since their refusal could only say "unknown". After 0.5 s it closes the listening socket, and after a further second of quiet the rest. A request counts until its answer is written. Requests that arrive before the decisions exist are refused with 1108; before, they got HTTP 500 without a result code, and /ready failed with a null pointer.

Ruled out: a wait for idle connections alone, which left up to 5 requests unread on a busy machine with 0.3 s of quiet.

--- a/node/src/main/java/org/plantainshunt/http/AdminServer.java
+++ b/node/src/main/java/org/plantainshunt/http/AdminServer.java
@@ -37,7 +37,9 @@
         server = RatpackServer.start(spec -> spec.serverConfig(config -> config.address(address.getAddress())
                         .port(address.getPort())
                         .threads(1)
-                        .development(false))
+                        .development(false)
+                        // The node reads health and documents on this server's threads until its stop is done.
+                        .registerShutdownHook(false))
                 .handlers(chain -> chain.get("status", context -> json(context, status.get()))
                         .get("metrics", context -> json(context, metrics.json()))
                         .get("metrics.txt", context -> context.getResponse().send("text/plain", metrics.text()))
--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -52,7 +53,9 @@
     private final LongSupplier largestBodyBytes;
     private final LongSupplier clock;
     private final AtomicInteger open = new AtomicInteger();
+    private final AtomicReference<Channel> listener = new AtomicReference<>();
     private final RatpackServer server;
+    private volatile boolean leaving;
 
     /**
      * Starts the server.
@@ -84,6 +87,8 @@
                         .port(address.getPort())
                         .threads(threads)
                         .development(false)
+                        // A stop is planned by the node; the server's own hook would close it with calls in flight.
+                        .registerShutdownHook(false)
                         .maxHeaderSize(LARGEST_HEADERS_READ_BYTES))
                 .handlers(chain -> chain.all(this::handle)));
     }
@@ -98,6 +103,23 @@
         return open.get();
     }
 
+    /**
+     * Refuses new requests from now on and asks callers to close their connections.
+     *
+     * <p>Requests with a ticket are still passed on, since a refusal could not tell whether an earlier delivery ran.
+     */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Accepts no further connections; those that are open go on. Takes effect if there has been a request. */
+    public void stopListening() {
+        Channel channel = listener.get();
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         try {
@@ -133,12 +155,20 @@
             send(context, requestId, refused(ResultCode.MALFORMED_REQUEST, detail, request));
             return;
         }
+        if (leaving && parsed.get().ticket().isEmpty()) {
+            send(context, requestId, refused(ResultCode.DRAINING, "the node is stopping", request));
+            return;
+        }
         if (open.incrementAndGet() > LARGEST_OPEN_REQUESTS) {
             open.decrementAndGet();
             send(context, requestId, refused(ResultCode.NODE_BUSY, "too many requests without a reply", request));
             return;
         }
-        Running running = track(context.getDirectChannelAccess().getChannel());
+        Channel channel = context.getDirectChannelAccess().getChannel();
+        listener.compareAndSet(null, channel.parent());
+        Running running = track(channel);
+        // The request counts until its answer has been written, so that a stop cuts no answer.
+        context.onClose(outcome -> open.decrementAndGet());
         Promise.<CallReply>async(downstream -> {
                     boolean taken = taker.take(
                             parsed.get(), reply -> downstream.success(reply), handle -> running.handle = handle);
@@ -148,7 +178,6 @@
                 })
                 .then(reply -> {
                     running.handle = null;
-                    open.decrementAndGet();
                     send(context, requestId, reply);
                 });
     }
@@ -259,6 +288,9 @@
                 .set(HeaderNames.RESULT, Integer.toString(reply.code().number()))
                 .set(HeaderNames.RUN, reply.code().runState().label())
                 .set(HeaderNames.REQUEST_ID, requestId);
+        if (leaving) {
+            response.getHeaders().set("Connection", "close");
+        }
         reply.ticket().ifPresent(ticket -> response.getHeaders().set(HeaderNames.TICKET, ticket));
         if (reply.refusal().isEmpty()) {
             response.send(reply.body());
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -11,6 +11,8 @@
 import com.codahale.metrics.MetricRegistry;
 import org.plantainshunt.call.Decisions;
 import org.plantainshunt.call.HopTracer;
+import org.plantainshunt.call.InboundCall;
+import org.plantainshunt.call.ReplyListener;
 import org.plantainshunt.call.Snapshot;
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Vm;
@@ -25,6 +27,7 @@
 import org.plantainshunt.http.RatpackBackendServer;
 import org.plantainshunt.http.RatpackPlatform;
 import org.plantainshunt.protocol.Announcement;
+import org.plantainshunt.protocol.CancelHandle;
 import org.plantainshunt.protocol.DocumentMessage;
 import org.plantainshunt.protocol.Greeting;
 import org.plantainshunt.protocol.InnerConnection;
@@ -53,6 +56,9 @@
     private static final long HEALTH_EVERY = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long LONGEST_STOP = TimeUnit.SECONDS.toNanos(35);
     private static final long NEWS_TRAVEL_TIME = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Callers may still write requests on connections that were accepted last; these are answered in this time. */
+    private static final long LAST_REQUESTS_TIME = TimeUnit.SECONDS.toNanos(1);
+
     private static final long STOP_CHECK_MILLISECONDS = 20;
     private static final int BACKEND_CONNECTIONS = 512;
     private static final int LARGEST_BODY_BYTES = 16 * 1024 * 1024;
@@ -166,7 +172,8 @@
     }
 
     boolean ready() {
-        return control.documentNumber() > 0 && !leaving;
+        FleetControl created = control;
+        return created != null && created.documentNumber() > 0 && !leaving;
     }
 
     /** Stops as planned: says that the node leaves, finishes what is in flight, then closes. */
@@ -175,6 +182,7 @@
         LOGGER.info("node {} is stopping", settings.name());
         stopping = true;
         leave(true);
+        callers.leave();
         awaitIdle();
         closeParts();
         LOGGER.info("node {} stopped", settings.name());
@@ -183,11 +191,15 @@
     private void awaitIdle() {
         long start = System.nanoTime();
         while (System.nanoTime() - start < LONGEST_STOP) {
-            boolean newsTravelled = System.nanoTime() - start > NEWS_TRAVEL_TIME;
+            long elapsed = System.nanoTime() - start;
+            if (elapsed > NEWS_TRAVEL_TIME) {
+                callers.stopListening();
+            }
+            boolean quiet = elapsed > NEWS_TRAVEL_TIME + LAST_REQUESTS_TIME;
             Snapshot now = decisions.snapshot();
             boolean fresh = now.takenAt() - start > 0;
             boolean idle = now.served() == 0 && now.entered() == 0;
-            if (newsTravelled && fresh && idle && callers.openRequests() == 0 && outbound.openRequests() == 0) {
+            if (quiet && fresh && idle && callers.openRequests() == 0 && outbound.openRequests() == 0) {
                 return;
             }
             try {
@@ -230,13 +242,13 @@
     private CallerServer callerServer(InetSocketAddress address, int threads, boolean fromBackendServer)
             throws Exception {
         return new CallerServer(
-                address,
-                threads,
-                settings.name(),
-                fromBackendServer,
-                (call, reply, cancellation) -> decisions().call(call, reply, cancellation),
-                this::largestBody,
-                System::nanoTime);
+                address, threads, settings.name(), fromBackendServer, this::take, this::largestBody, System::nanoTime);
+    }
+
+    /** Takes a call; refuses it while the parts of the node are still being created. */
+    private boolean take(InboundCall call, ReplyListener reply, Consumer<CancelHandle> cancellation) {
+        Decisions created = decisions;
+        return created != null && created.call(call, reply, cancellation);
     }
 
     private long largestBody() {
