Test the planned stop of nodes and backend servers that leave

Cause: nothing showed that SIGTERM cuts no call, or that each sign of leaving stops new work within 3 s over real processes.

Change: GracefulStopTest restarts a node of each service at a time under load (plantainshunt.fleet.one-by-one: one node at a time). LeavingNoNewWorkTest lets a backend server drain while the VM list says live and the platform is down, and lets the VM list alone say leaving. Deadlines and slots are wide, so that only faults end calls early.

--- a/bench/src/test/java/org/plantainshunt/bench/fleet/FleetTesting.java
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/FleetTesting.java
@@ -52,6 +52,22 @@
         return FleetDocument.read(documentText(1).getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Returns the document with limits that even a busy machine keeps, so that only faults end or refuse calls. */
+    static FleetDocument patientDocument() throws IOException {
+        String text = documentText(1)
+                .replaceAll("(?m)^deadline = .*$", "deadline = 10 s")
+                .replaceAll("(?m)^slots = .*$", "slots = 64")
+                .replace("connections = 200", "connections = 200\ntarget-queue-delay = 1 s");
+        return FleetDocument.read(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns loads of all kinds at the same rate in works per second. */
+    static List<KindLoad> loads(FleetDocument document, double rate) {
+        return document.kinds().stream()
+                .map(kind -> load(document, kind.service(), kind.name()).withRate(rate))
+                .toList();
+    }
+
     /** Returns the document with another version. */
     static String documentText(long version) throws IOException {
         try (var resource = FleetTesting.class.getResourceAsStream("/two-services.ini")) {
--- /dev/null
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/GracefulStopTest.java
@@ -0,0 +1,128 @@
+package org.plantainshunt.bench.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.standins.AttemptRecord;
+import org.plantainshunt.standins.RequestRecord;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards graceful-stop: SIGTERM to a node cuts no call that is in flight.
+ *
+ * <p>A node of each service restarts at a time; with the system property {@code plantainshunt.fleet.one-by-one} only
+ * one node at all, which takes twice as long.
+ */
+class GracefulStopTest {
+    private static final long SEED = Long.getLong("plantainshunt.fleet.seed", 20_261_204);
+    private static final boolean ONE_BY_ONE = Boolean.getBoolean("plantainshunt.fleet.one-by-one");
+    private static final Duration SLICE = Duration.ofSeconds(2);
+    private static final Duration BEFORE = Duration.ofMillis(500);
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(30);
+    /** Long enough that calls are in flight at any moment. */
+    private static final Map<String, Double> MEANS =
+            Map.of("recorder/upload", 250.0, "recorder/browse", 250.0, "archive/store", 60.0, "archive/lookup", 60.0);
+
+    private static FleetDocument document;
+    private static Fleet fleet;
+    private static Path directory;
+
+    @BeforeAll
+    static void startFleet() throws Exception {
+        document = FleetTesting.patientDocument();
+        FleetPlan plan = FleetPlan.small(document).withMeanMilliseconds(MEANS);
+        directory = FleetTesting.directory("graceful-stop");
+        fleet = Fleet.start(plan, directory);
+        fleet.awaitReady(FleetTesting.START);
+    }
+
+    @AfterAll
+    static void stopFleet() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    /** Guards against calls that a planned stop cuts, at the entry node or at the serving node. */
+    @Test
+    void cutsNoCallInARollingRestartOfEveryNode() throws Exception {
+        List<AttemptRecord> attempts = BackgroundLoad.during(
+                GracefulStopTest::restartAll, fleet.entries(), FleetTesting.loads(document, 10), SLICE, SEED);
+        judge(attempts);
+    }
+
+    private static void restartAll() throws Exception {
+        Thread.sleep(BEFORE.toMillis());
+        List<FleetVm> recorders = fleet.vms("recorder");
+        List<FleetVm> archives = fleet.vms("archive");
+        for (int index = 0; index < recorders.size(); index++) {
+            if (ONE_BY_ONE) {
+                restart(List.of(recorders.get(index)));
+                restart(List.of(archives.get(index)));
+            } else {
+                restart(List.of(recorders.get(index), archives.get(index)));
+            }
+        }
+    }
+
+    private static void restart(List<FleetVm> vms) throws Exception {
+        long start = System.nanoTime();
+        vms.forEach(FleetVm::terminateNode);
+        for (FleetVm vm : vms) {
+            assertTrue(vm.awaitNodeEnd(LONGEST_STOP), vm.name() + " did not stop");
+            System.out.printf("%s stopped within %d ms%n", vm.name(), (System.nanoTime() - start) / 1_000_000);
+        }
+        for (FleetVm vm : vms) {
+            vm.startNode();
+        }
+        fleet.awaitReady(FleetTesting.START);
+        Thread.sleep(BEFORE.toMillis());
+    }
+
+    /**
+     * Returns the ids of requests with a ticket that an entry node refused without sending them.
+     *
+     * <p>Such a node says "unknown" because of earlier deliveries, but nothing was in flight that a stop could cut.
+     */
+    private static Set<String> refusedBeforeSending() throws IOException {
+        ObjectMapper json = new ObjectMapper();
+        Set<String> ids = new HashSet<>();
+        for (FleetVm vm : fleet.vms()) {
+            for (String line : Files.readAllLines(directory.resolve(vm.name() + "-node.out"))) {
+                if (line.contains("this one met ")) {
+                    ids.add(json.readTree(line).path("requestId").asText());
+                }
+            }
+        }
+        return ids;
+    }
+
+    private static void judge(List<AttemptRecord> attempts) throws Exception {
+        System.out.println("seed " + SEED + ", " + BackgroundLoad.summary(attempts));
+        FleetTesting.assertHonest(fleet, attempts);
+        Set<String> neverSent = refusedBeforeSending();
+        List<AttemptRecord> unknown = BackgroundLoad.unknown(attempts).stream()
+                .filter(attempt -> !neverSent.contains(attempt.attemptId()))
+                .toList();
+        assertEquals(List.of(), unknown, unknown.size() + " calls were cut");
+        List<RequestRecord> broken = fleet.records().stream()
+                .filter(request -> !request.state().equals("answered"))
+                .toList();
+        assertEquals(List.of(), broken, broken.size() + " requests that a backend server received did not finish");
+        long whole =
+                attempts.stream().filter(attempt -> attempt.status() == 200).count();
+        assertTrue(whole > attempts.size() / 3, "too few calls were answered: " + whole);
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/LeavingNoNewWorkTest.java
@@ -0,0 +1,98 @@
+package org.plantainshunt.bench.fleet;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.standins.AttemptRecord;
+import org.plantainshunt.standins.RequestRecord;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards leaving-no-new-work: each sign that a backend server leaves is enough alone, and within 3 s. */
+class LeavingNoNewWorkTest {
+    private static final long SEED = Long.getLong("plantainshunt.fleet.seed", 20_261_204);
+    /** The bound of section 1.2 of the design. */
+    private static final Duration BOUND = Duration.ofSeconds(3);
+
+    private static final Duration BEFORE = Duration.ofSeconds(1);
+    private static final Duration AFTER = Duration.ofSeconds(5);
+
+    private static FleetDocument document;
+    private static Fleet fleet;
+
+    @BeforeAll
+    static void startFleet() throws Exception {
+        document = FleetTesting.patientDocument();
+        fleet = Fleet.start(FleetPlan.small(document), FleetTesting.directory("leaving"));
+        fleet.awaitReady(FleetTesting.START);
+    }
+
+    @AfterAll
+    static void stopFleet() {
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    /** Guards against nodes that believe the VM list's "live" more than the backend server's own word. */
+    @Test
+    void sendsNoNewWorkToADrainingServerThatTheVmListCallsLiveWhileThePlatformIsDown() throws Exception {
+        fleet.platform().setMode("down");
+        try {
+            assertLeaves(fleet.vms("archive").get(0), FleetVm::drain);
+        } finally {
+            fleet.platform().setMode("ok");
+        }
+    }
+
+    /** Guards against nodes that wait for the server's own word when only the VM list says that it leaves. */
+    @Test
+    void sendsNoNewWorkToAServerThatOnlyTheVmListCallsLeaving() throws Exception {
+        assertLeaves(fleet.vms("recorder").get(0), vm -> fleet.setLeaving(vm, true));
+    }
+
+    private static void assertLeaves(FleetVm vm, Sign sign) throws Exception {
+        Duration duration = BEFORE.plus(AFTER);
+        BackgroundLoad load = BackgroundLoad.start(
+                "leaving-" + vm.name(), fleet.entries(), FleetTesting.loads(document, 20), duration, SEED);
+        Thread.sleep(BEFORE.toMillis());
+        long leftAt = System.currentTimeMillis();
+        sign.give(vm);
+        List<AttemptRecord> attempts = load.await();
+        System.out.println("seed " + SEED + ", " + BackgroundLoad.summary(attempts));
+        FleetTesting.assertHonest(fleet, attempts);
+        judge(vm, leftAt);
+    }
+
+    private static void judge(FleetVm vm, long leftAt) throws Exception {
+        List<RequestRecord> here = fleet.records().stream()
+                .filter(request -> request.server().equals(vm.name()))
+                .toList();
+        long last = here.stream().mapToLong(RequestRecord::receivedAt).max().orElse(0) - leftAt;
+        long otherLast = fleet.records().stream()
+                        .filter(request -> fleet.vms(vm.service()).stream()
+                                .anyMatch(other -> other != vm && other.name().equals(request.server())))
+                        .mapToLong(RequestRecord::receivedAt)
+                        .max()
+                        .orElse(0)
+                - leftAt;
+        System.out.println(vm.name() + " received its last request " + last + " ms after it began to leave");
+        assertTrue(here.stream().anyMatch(request -> request.receivedAt() < leftAt), "no work before it left");
+        assertTrue(last <= BOUND.toMillis(), "work came " + last + " ms after the server began to leave");
+        assertTrue(otherLast > BOUND.toMillis(), "no demand was left that could have shown late work");
+        List<RequestRecord> unfinished = here.stream()
+                .filter(request -> request.endedAt() == 0 || request.state().equals("cancelled"))
+                .toList();
+        assertEquals(List.of(), unfinished, "requests in flight did not finish");
+    }
+
+    /** A sign that a server leaves. */
+    @FunctionalInterface
+    private interface Sign {
+        void give(FleetVm vm) throws Exception;
+    }
+}
