Open inner connections from the address that the endpoint listens on

Cause: an outgoing connection had the source address that the kernel chose, on loopback always 127.0.0.1. On a VM with several addresses, peers and firewalls see a node under another address than the one in its settings, and a relay that splits a fleet cannot tell the nodes apart.

Change: an endpoint that listens on one address binds its connections to it; a wildcard address changes nothing.

--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -60,6 +62,7 @@
     private final EventLoopGroup eventLoops;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final AtomicInteger pendingHandshakes = new AtomicInteger();
+    private volatile Optional<InetAddress> ownAddress = Optional.empty();
 
     /** Creates an endpoint that neither listens nor is connected. */
     public InnerEndpoint(InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler) {
@@ -100,11 +103,13 @@
             throw new IOException("cannot listen on " + address + ":" + port, bound.cause());
         }
         channels.add(bound.channel());
-        return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        InetSocketAddress local = (InetSocketAddress) bound.channel().localAddress();
+        ownAddress = Optional.of(local.getAddress()).filter(own -> !own.isAnyLocalAddress());
+        return local.getPort();
     }
 
     /**
-     * Opens a connection.
+     * Opens a connection, from the address that this endpoint listens on if it listens on one.
      *
      * @param address IP number
      * @param port TCP port
@@ -131,6 +136,8 @@
                         initializeConnecting(channel, result);
                     }
                 });
+        // On a VM with several addresses, peers and firewalls see the node under the one it was given.
+        ownAddress.ifPresent(own -> bootstrap.localAddress(own, 0));
         bootstrap.connect(new InetSocketAddress(address, port)).addListener(future -> {
             if (!future.isSuccess()) {
                 String message = "no connection with " + address + ":" + port + ": "
