--- a/bench/src/main/java/org/plantainshunt/bench/FailureRun.java
+++ b/bench/src/main/java/org/plantainshunt/bench/FailureRun.java
@@ -69,7 +69,7 @@
                 FleetDocument.read(Files.readAllBytes(Path.of(arguments[0]))).withSlotsDividedBy(SLOT_DIVISOR);
         long seed = arguments.length > 1 ? Long.parseLong(arguments[1]) : 1;
         boolean held;
-        try (Fleet fleet = Fleet.start(FleetPlan.small(document).withRelay(true), directory)) {
+        try (Fleet fleet = Fleet.startWithRelays(FleetPlan.small(document), directory)) {
             fleet.awaitReady(START);
             held = new FailureRun(fleet, seed, System.out).run();
         }
@@ -152,13 +152,13 @@
     private void cutOff() throws IOException, InterruptedException {
         FleetVm vm = fleet.vms().get(0);
         say("cut the connections to " + vm.name());
-        fleet.links().cutTo(vm);
+        fleet.relays().links().cut("", vm.innerAddress().toString());
         pause(3);
-        fleet.links().heal();
+        fleet.relays().links().heal();
         say("healed; stall the connections to " + vm.name());
-        fleet.links().stallTo(vm);
+        fleet.relays().links().stall("", vm.innerAddress().toString());
         pause(3);
-        fleet.links().heal();
+        fleet.relays().links().heal();
         pause(1);
     }
 
--- a/bench/src/main/java/org/plantainshunt/bench/fleet/Fleet.java
+++ b/bench/src/main/java/org/plantainshunt/bench/fleet/Fleet.java
@@ -21,12 +21,7 @@
  */
 public final class Fleet implements AutoCloseable {
     private static final int PLATFORM_PORT = 7000;
-    private static final int CONTROL_PORT = 7006;
     private static final int SEEDS = 3;
-    /** Third number of the addresses of the first data centre as published when a relay stands between the nodes. */
-    private static final int FIRST_RELAY = 101;
-
-    private static final Duration START = Duration.ofSeconds(20);
     private static final Duration POLL = Duration.ofMillis(50);
     /** Backend servers queue little of their own: their nodes keep the queue. */
     private static final int BACKEND_SERVER_QUEUE = 4;
@@ -38,16 +33,16 @@
     private final Control http = new Control();
     private final List<FleetVm> vms = new ArrayList<>();
     private final FleetPlatform platform;
-    private final FleetLinks links;
     private final ChildProcess platformProcess;
-    private Optional<ChildProcess> relayProcess = Optional.empty();
+    private final boolean withRelays;
+    private Optional<FleetRelays> relays = Optional.empty();
 
-    private Fleet(FleetPlan plan, Path directory) throws IOException {
+    private Fleet(FleetPlan plan, Path directory, boolean withRelays) throws IOException {
         this.plan = plan;
         this.directory = directory;
-        Endpoint endpoint = new Endpoint("127." + plan.addressBlock() + ".0.1", PLATFORM_PORT);
+        this.withRelays = withRelays;
+        Endpoint endpoint = new Endpoint(platformHost(1), PLATFORM_PORT);
         this.platform = new FleetPlatform(endpoint, http);
-        this.links = new FleetLinks(new Endpoint(address(0, 2), CONTROL_PORT), http, plan);
         this.platformProcess =
                 launch("platform", Programs.standin(), List.of("platform", "--listen", endpoint.toString()));
     }
@@ -60,7 +55,23 @@
      * @throws IOException if a process cannot be started
      */
     public static Fleet start(FleetPlan plan, Path directory) throws IOException, InterruptedException {
-        Fleet fleet = new Fleet(plan, directory);
+        return start(plan, directory, false);
+    }
+
+    /**
+     * Does the same with a relay in each link between nodes, to backend servers and to the platform.
+     *
+     * @param plan what to start
+     * @param directory an existing directory for settings, output and records
+     * @throws IOException if a process cannot be started
+     */
+    public static Fleet startWithRelays(FleetPlan plan, Path directory) throws IOException, InterruptedException {
+        return start(plan, directory, true);
+    }
+
+    private static Fleet start(FleetPlan plan, Path directory, boolean withRelays)
+            throws IOException, InterruptedException {
+        Fleet fleet = new Fleet(plan, directory, withRelays);
         try {
             fleet.begin();
             return fleet;
@@ -80,16 +91,9 @@
         return platform;
     }
 
-    /**
-     * Returns the links between the nodes.
-     *
-     * @throws IllegalStateException if the plan has no relay
-     */
-    public FleetLinks links() {
-        if (relayProcess.isEmpty()) {
-            throw new IllegalStateException("the plan has no relay");
-        }
-        return links;
+    /** Returns the relays of a fleet that was started with them. */
+    public FleetRelays relays() {
+        return relays.orElseThrow();
     }
 
     /** Returns all VMs, service by service. */
@@ -169,10 +173,10 @@
             for (FleetVm vm : vms) {
                 vm.killAll();
             }
-            if (relayProcess.isPresent()) {
-                relayProcess.get().kill();
-            }
             platformProcess.kill();
+            if (relays.isPresent()) {
+                relays.get().kill();
+            }
         } catch (InterruptedException interrupted) {
             // The shutdown hook kills what is left.
             Thread.currentThread().interrupt();
@@ -183,9 +187,16 @@
         return http;
     }
 
+    /** Returns an address outside those of VMs. */
+    String platformHost(int number) {
+        return "127." + plan.addressBlock() + ".0." + number;
+    }
+
     ChildProcess launchNode(FleetVm vm) throws IOException {
         Path settings = directory.resolve(vm.name() + ".ini");
-        Files.writeString(settings, NodeSettingsText.of(vm, platform.endpoint(), seeds(), SHARED_SECRET));
+        Endpoint platformLink =
+                relays.map(links -> links.platformEndpoint(vm.dataCentre())).orElse(platform.endpoint());
+        Files.writeString(settings, NodeSettingsText.of(vm, platformLink, seeds(), SHARED_SECRET));
         return launch(vm.name() + "-node", Programs.node(), List.of("--settings", settings.toString()));
     }
 
@@ -226,12 +237,13 @@
 
     private void begin() throws IOException, InterruptedException {
         createVms();
-        if (plan.relayed()) {
-            startLinks();
-        }
         for (FleetVm vm : vms) {
             vm.startBackendServer();
         }
+        if (withRelays) {
+            relays = Optional.of(new FleetRelays(this));
+            relays.get().awaitReady();
+        }
         awaitPlatform();
         platform.publish(plan.document().bytes());
         platform.publishVmList(vms);
@@ -247,41 +259,20 @@
         for (FleetDocument.ServiceLimits service : plan.document().services()) {
             for (int index = 0; index < plan.vmsPerService(); index++) {
                 int place = index % plan.dataCentres().size();
-                int number = ++inDataCentre[place];
-                int published = plan.relayed() ? place + FIRST_RELAY : place + 1;
+                String address = "127." + plan.addressBlock() + "." + (place + 1) + "." + ++inDataCentre[place];
                 vms.add(new FleetVm(
                         this,
                         service.name() + "-" + (index + 1),
                         service.name(),
                         plan.dataCentres().get(place),
-                        address(place + 1, number),
-                        address(published, number)));
+                        address,
+                        withRelays));
             }
         }
     }
 
-    private String address(int dataCentre, int number) {
-        return "127." + plan.addressBlock() + "." + dataCentre + "." + number;
-    }
-
-    private void startLinks() throws IOException, InterruptedException {
-        List<String> options = new ArrayList<>(List.of("relay", "--control=" + links.endpoint()));
-        for (FleetVm vm : vms) {
-            options.add("--listen=" + vm.publishedAddress());
-            options.add("--target=" + vm.innerAddress());
-        }
-        relayProcess = Optional.of(launch("relay", Programs.standin(), options));
-        long end = System.nanoTime() + START.toNanos();
-        while (!links.ready()) {
-            if (System.nanoTime() > end || !relayProcess.get().alive()) {
-                throw new IOException("the relay does not answer; see " + directory);
-            }
-            Thread.sleep(POLL.toMillis());
-        }
-    }
-
     private void awaitPlatform() throws IOException, InterruptedException {
-        long end = System.nanoTime() + START.toNanos();
+        long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
         while (!platform.ready()) {
             if (System.nanoTime() > end || !platformProcess.alive()) {
                 throw new IOException("the platform does not answer; see " + directory);
@@ -290,14 +281,14 @@
         }
     }
 
-    private ChildProcess launch(String name, List<String> program, List<String> options) throws IOException {
+    ChildProcess launch(String name, List<String> program, List<String> options) throws IOException {
         List<String> command = new ArrayList<>(program);
         command.addAll(options);
         return ChildProcess.start(name, command, directory.resolve(name + ".out"));
     }
 
     private List<Endpoint> seeds() {
-        return vms.stream().limit(SEEDS).map(FleetVm::publishedAddress).toList();
+        return vms.stream().limit(SEEDS).map(FleetVm::listedAddress).toList();
     }
 
     private Path recordFile(FleetVm vm) {
--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
@@ -17,6 +18,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
@@ -71,6 +73,8 @@
     private final AtomicInteger open = new AtomicInteger();
     private final RatpackServer server;
     private final InetSocketAddress listening;
+    private final AtomicReference<Channel> listener = new AtomicReference<>();
+    private volatile boolean leaving;
 
     /**
      * Starts the server.
@@ -125,6 +129,23 @@
         return open.get();
     }
 
+    /**
+     * Refuses new requests from now on and asks callers to close their connections.
+     *
+     * <p>Requests with a ticket are still passed on, since a refusal could not tell whether an earlier delivery ran.
+     */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Accepts no further connections; those that are open go on. Takes effect if there has been a request. */
+    public void stopListening() {
+        Channel channel = listener.get();
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         HttpChannels.forget(listening);
@@ -141,6 +162,10 @@
         String requestId = requestId(request);
         RunningRequest running =
                 RunningRequest.begin(context.getDirectChannelAccess().getChannel(), heldBytes, open::decrementAndGet);
+        listener.compareAndSet(
+                null, context.getDirectChannelAccess().getChannel().parent());
+        // The request counts until its answer has been written, so that a stop cuts no answer.
+        context.onClose(outcome -> running.end());
         Optional<Refusal> early = refusedUnread(request, open.incrementAndGet());
         if (early.isPresent()) {
             refuse(context, running, requestId, early.get());
@@ -195,6 +220,10 @@
             refuse(context, running, requestId, Refusal.of(ResultCode.MALFORMED_REQUEST, detail));
             return;
         }
+        if (leaving && parsed.get().ticket().isEmpty()) {
+            refuse(context, running, requestId, Refusal.of(ResultCode.DRAINING, "the node is stopping"));
+            return;
+        }
         Promise.<Optional<CallReply>>async(downstream -> {
                     boolean taken = taker.take(
                             parsed.get(), reply -> downstream.success(Optional.of(reply)), running::cancelWith);
@@ -208,14 +237,20 @@
                         refuse(context, running, requestId, busy);
                         return;
                     }
-                    running.end();
                     send(context, reply.get());
+                    endWithChannel(context, running);
                 });
     }
 
+    /** Ends a request whose caller has gone, since no answer is written for it. */
+    private static void endWithChannel(Context context, RunningRequest running) {
+        if (!context.getDirectChannelAccess().getChannel().isOpen()) {
+            running.end();
+        }
+    }
+
     /** Refuses a request that has not reached the decisions. */
     private void refuse(Context context, RunningRequest running, String requestId, Refusal refusal) {
-        running.end();
         CallReply reply = refused(requestId, refusal, context.getRequest());
         refusals.accept(requestId, reply.refusal().orElseThrow());
         send(context, reply);
@@ -357,6 +392,9 @@
                 .set(HeaderNames.RESULT, Integer.toString(reply.code().number()))
                 .set(HeaderNames.RUN, reply.code().runState().label())
                 .set(HeaderNames.REQUEST_ID, reply.requestId());
+        if (leaving) {
+            response.getHeaders().set("Connection", "close");
+        }
         reply.ticket().ifPresent(ticket -> response.getHeaders().set(HeaderNames.TICKET, ticket));
         if (reply.refusal().isEmpty()) {
             response.send(reply.body());
