Don't set a cold server aside while it ramps up

Ruled out: more trials for cold servers, which at half a percent of the calls still take minutes to warm a small one.

Change: a server is not marked slow during the 10 s after a cold start; its ramp bounds its share.

Seeded defect, run and restored: without the exception coldServerIsNotSetAsideWhileItRampsUp fails with "slow after".

--- a/core/src/main/java/org/plantainshunt/routing/Ramp.java
+++ b/core/src/main/java/org/plantainshunt/routing/Ramp.java
@@ -21,11 +21,16 @@
     private long duration;
 
     /** Starts the growth after a cold start, at a time in nanoseconds. */
-    void cold(long now) {
+    void start(long now) {
         startedAt = now;
         duration = COLD;
     }
 
+    /** Returns whether the growth after a cold start goes on. */
+    boolean cold(long now) {
+        return duration == COLD && now - startedAt < COLD;
+    }
+
     /** Starts the growth after a slow time, at a time in nanoseconds; a cold start that lasts longer stays. */
     void recovered(long now) {
         if (startedAt + duration < now + RECOVERED) {
--- a/core/src/main/java/org/plantainshunt/routing/Upstream.java
+++ b/core/src/main/java/org/plantainshunt/routing/Upstream.java
@@ -221,7 +221,7 @@
         lateShare = 0;
         refusedAt = NEVER;
         trials.clear();
-        ramp.cold(now);
+        ramp.start(now);
     }
 
     /**
--- a/core/src/test/java/org/plantainshunt/routing/BackendServerChoiceTest.java
+++ b/core/src/test/java/org/plantainshunt/routing/BackendServerChoiceTest.java
@@ -149,6 +149,21 @@
         assertEquals(0.25, last, 0.02);
     }
 
+    /** A cold server is slow at first and must get calls that warm it up; a warm one must not stay unnoticed. */
+    @Test
+    void coldServerIsNotSetAsideWhileItRampsUp() {
+        create(4);
+        upstreams.get(0).newIncarnation(5, 0);
+        for (long now = 0; now < 12 * SECOND; now += 20 * MILLISECOND) {
+            for (Upstream each : upstreams) {
+                each.started(calls, now - (each == upstreams.get(0) ? 200 : 10) * MILLISECOND);
+                each.ended(calls++, UpstreamEnd.ANSWERED, now);
+            }
+            choose(now);
+            assertEquals(now >= 10 * SECOND, upstreams.get(0).slow(), "slow after " + now);
+        }
+    }
+
     /** A slow server gets one trial in 500 ms at most and none while one is outstanding. */
     @Test
     void trialsAreRareAndNeverTwoAtATime() {
