--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -54,7 +54,7 @@
      *
      * @param candidates the usable servers of the service
      * @param excludedVms the names of VMs that were tried already
-     * @param priorityClass the class of the call; critical calls are no trials unless nothing else is left
+     * @param priorityClass the class of the call; a critical call is a trial only if no other call was for long
      * @param now the time in nanoseconds
      * @return the server, or empty if no candidate is left
      */
@@ -84,7 +84,11 @@
         mark(candidates, most, now);
     }
 
-    /** Marks slow servers, at most so many. */
+    /**
+     * Marks slow servers, at most so many.
+     *
+     * <p>A cold server is left out, because trials alone never warm it up; its ramp bounds its share meanwhile.
+     */
     private static void mark(List<Upstream> candidates, int most, long now) {
         long reference = reference(candidates);
         for (Upstream candidate : candidates) {
@@ -96,7 +100,8 @@
         double limit = Math.max(SLOW_SHARE, lowerMedianLate(candidates, now) + SLOW_EXCESS);
         int left = most;
         for (Upstream candidate : candidates) {
-            if (left > 0 && !candidate.slow() && candidate.lateShare(now) > limit) {
+            boolean late = candidate.lateShare(now) > limit && !candidate.ramp().cold(now);
+            if (left > 0 && late && !candidate.slow()) {
                 candidate.trials().markSlow(now);
                 left--;
             }
@@ -147,7 +152,7 @@
             if (!trials.slow()) {
                 continue;
             }
-            if (priorityClass != PriorityClass.CRITICAL && trials.due(now)) {
+            if (priorityClass == PriorityClass.CRITICAL ? trials.overdue(now) : trials.due(now)) {
                 trials.choose(now);
                 return Optional.of(candidate);
             }
