Count a request as open until its answer has been written

A request counted as done when its reply was ready, so a planned stop could close the connection of a caller that was still reading. The new test, with an 8 MiB answer and a caller that does not read, saw 0 open requests before the change and sees 1 now.

--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -141,6 +141,7 @@
         String requestId = requestId(request);
         RunningRequest running =
                 RunningRequest.begin(context.getDirectChannelAccess().getChannel(), heldBytes, open::decrementAndGet);
+        context.onClose(written -> running.end());
         Optional<Refusal> early = refusedUnread(request, open.incrementAndGet());
         if (early.isPresent()) {
             refuse(context, running, requestId, early.get());
@@ -208,14 +209,14 @@
                         refuse(context, running, requestId, busy);
                         return;
                     }
-                    running.end();
+                    running.replied();
                     send(context, reply.get());
                 });
     }
 
     /** Refuses a request that has not reached the decisions. */
     private void refuse(Context context, RunningRequest running, String requestId, Refusal refusal) {
-        running.end();
+        running.replied();
         CallReply reply = refused(requestId, refusal, context.getRequest());
         refusals.accept(requestId, reply.refusal().orElseThrow());
         send(context, reply);
--- a/node/src/main/java/org/plantainshunt/http/RunningRequest.java
+++ b/node/src/main/java/org/plantainshunt/http/RunningRequest.java
@@ -8,7 +8,7 @@
 import org.plantainshunt.protocol.CancelHandle;
 
 /**
- * A request from its first byte to its reply or the end of its connection, whichever comes first.
+ * A request from its first byte to the last of its reply or the end of its connection, whichever comes first.
  *
  * <p>A connection has at most one, since {@link RequestGuard} holds pipelined requests back. Safe for use by any
  * thread.
@@ -22,6 +22,7 @@
     private final AtomicLong bytes = new AtomicLong();
     private CancelHandle handle;
     private boolean gone;
+    private boolean replied;
 
     private RunningRequest(Runnable release, AtomicLong heldBytes) {
         this.release = release;
@@ -57,25 +58,30 @@
     synchronized void cancelWith(CancelHandle given) {
         if (gone) {
             given.cancel();
-        } else if (!released.get()) {
+        } else if (!replied) {
             handle = given;
         }
     }
 
+    /**
+     * Gives back what the request holds, because its reply is there; it is open until the reply has been written.
+     *
+     * <p>The handle holds the call with its body, and a connection may stay idle for long after its last request.
+     */
+    synchronized void replied() {
+        heldBytes.addAndGet(-bytes.getAndSet(0));
+        handle = null;
+        replied = true;
+    }
+
     /** Ends the request; further calls do nothing. */
     void end() {
+        replied();
         if (released.compareAndSet(false, true)) {
-            heldBytes.addAndGet(-bytes.get());
-            forgetHandle();
             release.run();
         }
     }
 
-    /** The handle holds the call with its body, and a connection may stay idle for long after its last request. */
-    private synchronized void forgetHandle() {
-        handle = null;
-    }
-
     private synchronized void cancel() {
         gone = true;
         if (handle != null) {
--- a/node/src/test/java/org/plantainshunt/node/BackendServerEdgeTest.java
+++ b/node/src/test/java/org/plantainshunt/node/BackendServerEdgeTest.java
@@ -17,7 +17,7 @@
 
 /** Guards the verdicts on requests whose backend server breaks the exchange, against real sockets. */
 class BackendServerEdgeTest {
-    private static final String LARGE = "x".repeat(65 * 1024);
+    private static final String LARGE = "x".repeat(8 * 1024 * 1024 + 1);
     private static NodeUnderTest fixture;
 
     @BeforeAll
--- a/node/src/test/java/org/plantainshunt/node/CallerEdgeTest.java
+++ b/node/src/test/java/org/plantainshunt/node/CallerEdgeTest.java
@@ -19,6 +19,9 @@
 /** Guards the node against callers that are broken, slow, gone or many, with raw sockets. */
 class CallerEdgeTest {
     private static final int LARGE = 65 * 1024;
+    /** Over what the socket buffers of a connection take. */
+    private static final String HUGE = "x".repeat(8 * 1024 * 1024);
+
     private static NodeUnderTest fixture;
 
     @BeforeAll
@@ -40,6 +43,9 @@
         if (request.method().equals("DELETE")) {
             return NodeUnderTest.answer(out, "");
         }
+        if (request.path().endsWith("/huge")) {
+            return NodeUnderTest.answer(out, HUGE);
+        }
         if (request.path().endsWith("/silent")) {
             return true;
         }
@@ -150,6 +156,19 @@
         }
     }
 
+    /** A planned stop waits for open requests, so one must stay open while its caller still reads. */
+    @Test
+    void requestsAreOpenUntilTheirAnswersAreWritten() throws Exception {
+        try (RawCaller caller = fixture.caller()) {
+            caller.send(RawCaller.post("/front/wait/huge", ""));
+            NodeUnderTest.await(() -> caller.isAnswered());
+            Thread.sleep(300);
+            assertEquals(1, fixture.openRequests());
+            assertEquals(HUGE.length(), caller.read().body().length());
+        }
+        NodeUnderTest.await(() -> fixture.openRequests() == 0);
+    }
+
     /** The deadline runs from the first byte, so that a slow caller cannot hold a request open without end. */
     @Test
     void slowBodiesEndWithTheDeadline() throws Exception {
--- a/node/src/test/java/org/plantainshunt/node/NodeUnderTest.java
+++ b/node/src/test/java/org/plantainshunt/node/NodeUnderTest.java
@@ -52,7 +52,7 @@
 
             [policy]
             largest-body = 64 KiB
-            largest-answer = 64 KiB
+            largest-answer = 8 MiB
             """;
 
     private static final long WAIT_NANOSECONDS = 10_000_000_000L;
--- a/node/src/test/java/org/plantainshunt/node/RawCaller.java
+++ b/node/src/test/java/org/plantainshunt/node/RawCaller.java
@@ -17,9 +17,13 @@
 final class RawCaller implements AutoCloseable {
     private static final int TIMEOUT_MILLISECONDS = 10_000;
 
+    private static final int RECEIVE_BUFFER_BYTES = 16 * 1024;
+
     private final Socket socket = new Socket();
 
     RawCaller(InetSocketAddress address) throws IOException {
+        // Small, so that a caller that does not read holds up the node soon.
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         socket.connect(address, TIMEOUT_MILLISECONDS);
         socket.setSoTimeout(TIMEOUT_MILLISECONDS);
         socket.setTcpNoDelay(true);
