--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -237,6 +237,7 @@
                         refuse(context, running, requestId, busy);
                         return;
                     }
+                    running.replied();
                     send(context, reply.get());
                     endWithChannel(context, running);
                 });
@@ -251,6 +252,7 @@
 
     /** Refuses a request that has not reached the decisions. */
     private void refuse(Context context, RunningRequest running, String requestId, Refusal refusal) {
+        running.replied();
         CallReply reply = refused(requestId, refusal, context.getRequest());
         refusals.accept(requestId, reply.refusal().orElseThrow());
         send(context, reply);
