Refuse traces with times out of range

Cause: a negative run time would turn the virtual clock of a replay back, and a huge time would overflow it.

Ruled out: clamping, which would hide a damaged file.

ReplayTest (8) and StatedOutcomesTest (29) pass.

--- a/core/src/main/java/org/plantainshunt/replay/Trace.java
+++ b/core/src/main/java/org/plantainshunt/replay/Trace.java
@@ -110,11 +110,14 @@
         } else if (event instanceof TraceEvent.Handover handover) {
             update(handover.call(), call -> call.with(handover));
         } else if (event instanceof TraceEvent.End end) {
+            checkRange(end.runTime(), end);
             update(end.call(), call -> call.with(end));
         } else if (event instanceof TraceEvent.Refused refused) {
+            checkRange(refused.time(), refused);
             update(refused.call(), call -> call.with(refused));
         } else if (event instanceof TraceEvent.LimitsChanged change) {
             checkLimits(change.limits());
+            checkRange(change.time(), change);
             changes.add(change);
         } else if (event instanceof TraceEvent.Dropped dropped) {
             droppedLines += dropped.lines();
@@ -135,7 +138,11 @@
     }
 
     private static void checkLimits(TraceEvent.Limits limits) throws InvalidTraceException {
-        if (limits == null || limits.slots() < 1 || limits.queue() < 0 || limits.targetQueueDelay() < 1) {
+        if (limits == null
+                || limits.slots() < 1
+                || limits.queue() < 0
+                || limits.targetQueueDelay() < 1
+                || limits.targetQueueDelay() > LONGEST) {
             throw new InvalidTraceException("the limits are missing or out of range: " + limits);
         }
     }
@@ -144,11 +151,17 @@
         if (arrival.call() == null || arrival.kind() == null || arrival.priorityClass() == null) {
             throw new InvalidTraceException("an arrival has no call, kind or class: " + arrival);
         }
-        if (arrival.time() < 0
-                || arrival.time() > LONGEST
-                || arrival.cohort() < 0
-                || arrival.cohort() >= Priority.COHORTS) {
-            throw new InvalidTraceException("the time or cohort of an arrival is out of range: " + arrival);
+        if (arrival.cohort() < 0 || arrival.cohort() >= Priority.COHORTS) {
+            throw new InvalidTraceException("the cohort of an arrival is out of range: " + arrival);
+        }
+        checkRange(arrival.time(), arrival);
+        checkRange(Math.abs(Math.round(arrival.deadlineLeft())), arrival);
+    }
+
+    /** A time that is negative or absurdly long would turn the virtual clock back or overflow it. */
+    private static void checkRange(long time, TraceEvent event) throws InvalidTraceException {
+        if (time < 0 || time > LONGEST) {
+            throw new InvalidTraceException("a time is out of range: " + event);
         }
     }
 }
--- a/core/src/test/java/org/plantainshunt/replay/ReplayTest.java
+++ b/core/src/test/java/org/plantainshunt/replay/ReplayTest.java
@@ -95,10 +95,19 @@
         assertEquals(1, trace.strayLines());
         assertEquals(3, trace.droppedLines());
         assertThrows(InvalidTraceException.class, () -> Trace.of(events.subList(1, 2)));
+        assertInvalidWith(new TraceEvent.End(1, "a", CallEnd.ANSWERED, -1));
+        assertInvalidWith(new TraceEvent.Refused(Long.MAX_VALUE, "a", 1109, "late"));
+        assertInvalidWith(new TraceEvent.LimitsChanged(1, LIMITS.withSlots(0)));
         arrive("a", -1, false, 100);
         assertThrows(InvalidTraceException.class, () -> Trace.of(events));
     }
 
+    private void assertInvalidWith(TraceEvent event) {
+        List<TraceEvent> all = new ArrayList<>(events);
+        all.add(event);
+        assertThrows(InvalidTraceException.class, () -> Trace.of(all));
+    }
+
     private Outcomes replay(OptionalInt slots) throws InvalidTraceException {
         return Replay.run(Trace.of(events), slots);
     }
