Keep the limits of the generated traces beside them

Ruled out: writing the traces anew, which would change records whose outcomes were stated, again with every change of the examples.

The traces and statements are unchanged.

--- a/cli/src/test/java/org/plantainshunt/cli/TraceGenerator.java
+++ b/cli/src/test/java/org/plantainshunt/cli/TraceGenerator.java
@@ -14,7 +14,6 @@
 import java.util.Random;
 import java.util.zip.GZIPOutputStream;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectWriter;
 import org.plantainshunt.admission.CallEnd;
 import org.plantainshunt.admission.Priority;
@@ -50,17 +49,14 @@
 
     /** The course of one trace: the demand as a share of the capacity, and the factor on run times. */
     enum Trial {
-        BELL_MORNING("bell-mesh", "archive", "store", 4, 0.03, second -> 0.6, second -> 1),
-        BELL_CREST("bell-mesh", "archive", "store", 7, 0.06, second -> 0.4 * crest(second), second -> 1),
-        BELL_SLOW_ARCHIVE("bell-mesh", "archive", "store", 7, 0.04, second -> 0.5, second -> slow(second, 4)),
-        LINE_SALE("polishing-line", "benchbook", "book-repolish", 7, 0.03, second -> 0.4 * crest(second), second -> 1),
-        LINE_SLOW_BENCHBOOK(
-                "polishing-line", "benchbook", "book-repolish", 7, 0.03, second -> 0.5, second -> slow(second, 4)),
-        BELL_SLOW_ARCHIVE_FULL_RUNS("bell-mesh", "archive", "store", 7, 0.04, second -> 0.5, second -> slow(second, 4)),
-        LINE_SLOW_BENCHBOOK_FULL_RUNS(
-                "polishing-line", "benchbook", "book-repolish", 7, 0.03, second -> 0.5, second -> slow(second, 4));
-
-        private final String deployment;
+        BELL_MORNING("archive", "store", 4, 0.03, second -> 0.6, second -> 1),
+        BELL_CREST("archive", "store", 7, 0.06, second -> 0.4 * crest(second), second -> 1),
+        BELL_SLOW_ARCHIVE("archive", "store", 7, 0.04, second -> 0.5, second -> slow(second, 4)),
+        LINE_SALE("benchbook", "book-repolish", 7, 0.03, second -> 0.4 * crest(second), second -> 1),
+        LINE_SLOW_BENCHBOOK("benchbook", "book-repolish", 7, 0.03, second -> 0.5, second -> slow(second, 4)),
+        BELL_SLOW_ARCHIVE_FULL_RUNS("archive", "store", 7, 0.04, second -> 0.5, second -> slow(second, 4)),
+        LINE_SLOW_BENCHBOOK_FULL_RUNS("benchbook", "book-repolish", 7, 0.03, second -> 0.5, second -> slow(second, 4));
+
         private final String service;
         private final String atMostOnceKind;
         private final int seconds;
@@ -69,14 +65,12 @@
         private final Course slowness;
 
         Trial(
-                String deployment,
                 String service,
                 String atMostOnceKind,
                 int seconds,
                 double meanRunSeconds,
                 Course demand,
                 Course slowness) {
-            this.deployment = deployment;
             this.service = service;
             this.atMostOnceKind = atMostOnceKind;
             this.seconds = seconds;
@@ -112,7 +106,7 @@
 
     private TraceGenerator(Trial trial) throws IOException, InvalidDocumentException {
         this.trial = trial;
-        this.document = Document.parse(Files.readAllBytes(Path.of("..", "examples", trial.deployment + ".ini")));
+        this.document = Document.parse(Files.readAllBytes(trial.file().resolveSibling("limits.ini")));
         this.service = document.service(trial.service).orElseThrow();
         this.random = new Random(trial.ordinal() + 1L);
         slotFreeAt.addAll(Collections.nCopies(service.slots(), 0L));
@@ -133,15 +127,11 @@
         ObjectWriter json = TraceReader.mapper().writerFor(TraceEvent.class);
         StringBuilder text = new StringBuilder();
         for (TraceEvent event : events) {
-            text.append(line(json, event)).append('\n');
+            text.append(json.writeValueAsString(event)).append('\n');
         }
         return text.toString();
     }
 
-    private static String line(ObjectWriter json, TraceEvent event) throws JsonProcessingException {
-        return json.writeValueAsString(event);
-    }
-
     private List<TraceEvent> events() {
         double capacity = service.slots() / trial.meanRunSeconds;
         double second = 0;
@@ -179,7 +169,7 @@
 
     /** A third of the critical and half of the important calls of the archive store; a booking is important. */
     private String kind(PriorityClass priorityClass) {
-        boolean bookings = trial.deployment.equals("polishing-line");
+        boolean bookings = trial.service.equals("benchbook");
         double share = 0;
         if (priorityClass == PriorityClass.CRITICAL && !bookings) {
             share = 1.0 / 3;
