Close caller connections that are idle for 60 s

Requests are open until their answers are written, so callers that never read would use up the 2,048 open requests for good.

--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -55,6 +56,9 @@
     /** The longest deadline that a configuration may state. */
     private static final long LONGEST_BODY_TIME = TimeUnit.SECONDS.toNanos(30);
 
+    /** Longer than any call; a caller that never reads its answer would hold a request open without end. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
     /** The reader of bodies has its own limit, which also tells what was exceeded. */
     private static final long UNBOUNDED = Long.MAX_VALUE;
 
@@ -108,6 +112,7 @@
                         // Ratpack's own hook would cut the requests in flight at SIGTERM; the node stops its servers
                         // itself.
                         .registerShutdownHook(false)
+                        .idleTimeout(IDLE_TIMEOUT)
                         .maxInitialLineLength(LARGEST_HEADERS_READ_BYTES)
                         .maxHeaderSize(LARGEST_HEADERS_READ_BYTES))
                 .handlers(chain -> chain.all(this::handle)));
