--- a/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
+++ b/bench/src/main/java/org/plantainshunt/bench/policy/PlantainshuntEntryPolicy.java
@@ -188,6 +188,7 @@
         if (chosen.isEmpty()) {
             return Route.refuse(Reply.refused(ResultCode.NO_BACKEND_SERVER, 0));
         }
+        call.tried.add(chosen.get().vm().name());
         long id = nextCallId++;
         callIds.put(call, id);
         chosen.get().started(id, now);
