Answer 1113 for tickets before the configuration, and reconnect on a greeting

Cause: a node that had just started was asked for a ticket before it had its configuration and answered 1302, so that the caller got HTTP 404 for a kind that exists (1 of 753 attempts of a rolling restart). And a node that had failed to connect to another refused tickets of that one for up to 3 s after it was back, though the other had greeted it meanwhile (5 attempts of one rolling restart: "this one met 1112 the last connection failed less than a pause ago").

Change: a ticket request before the configuration meets 1113, which is tried elsewhere. A greeting from a VM ends the pause after a failed connection to it.

--- a/node/src/main/java/org/plantainshunt/call/Connections.java
+++ b/node/src/main/java/org/plantainshunt/call/Connections.java
@@ -70,6 +70,15 @@
         }
     }
 
+    /** Ends the pause after a failure, since a VM that connects to this node can be reached again. */
+    void greeted(String vm) {
+        Peer peer = peers.get(vm);
+        if (peer != null) {
+            peer.notBefore = Long.MIN_VALUE;
+            peer.pause = FIRST_PAUSE;
+        }
+    }
+
     /** Returns whether there is an open connection to the VM. */
     boolean isOpen(String vm) {
         Peer peer = peers.get(vm);
--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -126,8 +126,10 @@
 
     /** Takes what a peer said of itself when it connected. */
     public void greeted(Greeting greeting) {
-        duty.submit(() ->
-                membership.greeted(greeting.vm(), greeting.incarnation(), greeting.draining(), clock.getAsLong()));
+        duty.submit(() -> {
+            connections.greeted(greeting.vm());
+            membership.greeted(greeting.vm(), greeting.incarnation(), greeting.draining(), clock.getAsLong());
+        });
     }
 
     /** Takes a peer's word that it is leaving. */
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -113,6 +113,10 @@
 
     /** Issues a ticket of this process. */
     void ticket(String kind, TicketListener reply) {
+        if (document.isEmpty()) {
+            reply.refused(Refusal.of(ResultCode.NOT_READY, "no configuration at the serving node"));
+            return;
+        }
         if (queue == null
                 || document.flatMap(known -> known.kind(serviceName, kind)).isEmpty()) {
             reply.refused(Refusal.of(ResultCode.UNKNOWN_KIND, "no kind " + kind + " of service " + serviceName));
