Let backend servers of the stop test call again after "not run"

Cause: a ticket that an archive node issued just before its stop was refused with 1103, which is correct and "not run", but the stand-in did not call again, so its own request failed (2 of 1463 attempts, one node at a time) and counted as interrupted.

Change: the backend servers repeat a refused call once, with a new ticket.

--- a/bench/src/test/java/org/plantainshunt/bench/fleet/GracefulStopTest.java
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/GracefulStopTest.java
@@ -35,6 +35,9 @@
     private static final Map<String, Double> MEANS =
             Map.of("recorder/upload", 250.0, "recorder/browse", 250.0, "archive/store", 60.0, "archive/lookup", 60.0);
 
+    /** A ticket may be issued just before its node stops; the call that it is for is then refused as not run. */
+    private static final List<String> CALL_AGAIN = List.of("--call-attempts=2");
+
     private static FleetDocument document;
     private static Fleet fleet;
     private static Path directory;
@@ -42,7 +45,7 @@
     @BeforeAll
     static void startFleet() throws Exception {
         document = FleetTesting.patientDocument();
-        FleetPlan plan = FleetPlan.small(document).withMeanMilliseconds(MEANS);
+        FleetPlan plan = FleetPlan.small(document).withMeanMilliseconds(MEANS).withBackendServerOptions(CALL_AGAIN);
         directory = FleetTesting.directory("graceful-stop");
         fleet = Fleet.start(plan, directory);
         fleet.awaitReady(FleetTesting.START);
