Don't take a server for slow while it refuses calls

Cause: under overload calls wait in the queues, and a server whose calls are late for that reason was set aside as slow. At 2 times the capacity of the Bell Mesh servers were marked 22 times in 10 s by all nodes together; one archive server ran half empty while the other of its region refused work.

Ruled out: the level of that server; it was 512 most of the time.

--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -87,7 +87,8 @@
     /**
      * Marks slow servers, at most so many.
      *
-     * <p>A cold server is left out, because trials alone never warm it up; its ramp bounds its share meanwhile.
+     * <p>A cold server is left out, because trials alone never warm it up; its ramp bounds its share meanwhile. So is a
+     * server that refused calls just now: its calls may be late because they wait in its queue.
      */
     private static void mark(List<Upstream> candidates, int most, long now) {
         long reference = reference(candidates);
@@ -101,7 +102,7 @@
         int left = most;
         for (Upstream candidate : candidates) {
             boolean late = candidate.lateShare(now) > limit && !candidate.ramp().cold(now);
-            if (left > 0 && late && !candidate.slow()) {
+            if (left > 0 && late && !candidate.slow() && !candidate.full(now)) {
                 candidate.trials().markSlow(now);
                 left--;
             }
