Shrink the limit by half at most in a round, and show the backend server's health

Cause: one shed answer while a single call ran cut the limit from 4 to 1 (from 130 to 1 as well), and the growth back took seconds of traffic. Half a round still reaches a server's real limit within a few rounds.

--- a/core/src/main/java/org/plantainshunt/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/plantainshunt/admission/ConcurrencyLimit.java
@@ -54,7 +54,8 @@
         if (limit < slots && startedAt - shedAt < 0) {
             return;
         }
-        limit = Math.max(1, (int) (Math.min(limit, running) * SHRINK));
+        // A single shed at low concurrency may be chance, so one round takes half of the limit at most.
+        limit = Math.max(Math.max(1, limit / 2), (int) (Math.min(limit, running) * SHRINK));
         shedAt = now;
         successes = 0;
         step = 1;
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -88,6 +88,7 @@
     private boolean healthAsked;
     private volatile boolean leaving;
     private volatile boolean stopping;
+    private volatile String backendServerHealth = "unknown";
 
     /**
      * Starts a node.
@@ -183,6 +184,11 @@
         return ready() ? "serving" : "starting";
     }
 
+    /** Returns what the backend server's health endpoint said of late, for operators only. */
+    String backendServerHealth() {
+        return backendServerHealth;
+    }
+
     boolean ready() {
         FleetControl created = control;
         return created != null && created.complete() && !leaving;
@@ -310,7 +316,9 @@
 
     private void takeHealth(HealthWatch.Health answer) {
         healthAsked = false;
-        if (health.answered(answer) && !stopping) {
+        boolean changed = health.answered(answer);
+        backendServerHealth = health.failing() ? "failing" : health.draining() ? "draining" : "serving";
+        if (changed && !stopping) {
             LOGGER.info("the backend server {}", health.draining() ? "is leaving" : "serves again");
             leave(health.draining());
         }
--- a/node/src/main/java/org/plantainshunt/node/StatusReport.java
+++ b/node/src/main/java/org/plantainshunt/node/StatusReport.java
@@ -34,6 +34,7 @@
         tree.put("service", node.settings().service());
         tree.put("state", node.state());
         tree.put("ready", node.ready());
+        tree.put("backendServer", node.backendServerHealth());
         describe(tree.putObject("configuration"), node.control().configuration());
         tree.put("running", snapshot.running());
         tree.put("waiting", snapshot.waiting());
