Give each probe of the fleet tests a work id of its own

Cause: the judge now counts deliveries of one attempt as retries. The nodes had made no retry.

Change: each probe has its own id; what the judge checks is unchanged.

--- a/bench/src/test/java/org/plantainshunt/bench/fleet/CutConnectionsTest.java
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/CutConnectionsTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +28,9 @@
     private static final long NARROW_BITS_PER_SECOND = 2_000_000;
     private static final int PART_OF_ANSWER_BYTES = 20_000;
 
+    /** Each probe is a work of its own, so that no probe looks like a retry of another. */
+    private static final AtomicLong PROBES = new AtomicLong();
+
     private static Fleet fleet;
     private static KindLoad store;
     private static KindLoad lookup;
@@ -207,7 +211,8 @@
 
     private static void awaitServing() throws Exception {
         RecordingCaller probe = new RecordingCaller();
-        FleetTesting.await("calls pass", Duration.ofSeconds(15), () -> probe.send(entry(), lookup, "probe", "")
+        FleetTesting.await("calls pass", Duration.ofSeconds(15), () -> probe.send(
+                        entry(), lookup, "probe" + PROBES.incrementAndGet(), "")
                 .whole());
     }
 
--- a/bench/src/test/java/org/plantainshunt/bench/fleet/PartitionTest.java
+++ b/bench/src/test/java/org/plantainshunt/bench/fleet/PartitionTest.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -94,11 +95,13 @@
     }
 
     private static void assertAnswers(List<FleetVm> side) throws Exception {
+        // Each probe is a work of its own, so that no probe looks like a retry of another.
+        AtomicLong probes = new AtomicLong(System.nanoTime());
         RecordingCaller caller = new RecordingCaller();
         KindLoad lookup = FleetTesting.load(document, "archive", "lookup");
         for (FleetVm vm : side) {
             FleetTesting.await(vm.name() + " answers", Duration.ofSeconds(3), () -> caller.send(
-                            vm.callerAddress(), lookup, "side", "")
+                            vm.callerAddress(), lookup, "side" + probes.incrementAndGet(), "")
                     .whole());
         }
     }
