--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -1,8 +1,11 @@
 package org.plantainshunt.call;
 
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainshunt.admission.Priority;
@@ -10,8 +13,10 @@
 import org.plantainshunt.configuration.Kind;
 import org.plantainshunt.configuration.Outcall;
 import org.plantainshunt.configuration.Policy;
+import org.plantainshunt.configuration.PriorityClass;
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.retry.DeclaredCalls;
 import org.plantainshunt.retry.RetryBudget;
 import org.plantainshunt.retry.Share;
 
@@ -23,31 +28,34 @@
  */
 final class CallPreparation {
     private final Environment environment;
-    private final Map<Kind, Integer> callsBelow = new HashMap<>();
+    private final Map<Kind, Set<String>> servicesBelow = new HashMap<>();
+    private DeclaredCalls declaredCalls = new DeclaredCalls(this::kind);
     private Optional<Document> document = Optional.empty();
-    private RetryBudget retryBudget = new RetryBudget(0);
-    private double retryRatio;
+    private final Map<PriorityClass, RetryBudget> retryBudgets = new EnumMap<>(PriorityClass.class);
 
     CallPreparation(Environment environment) {
         this.environment = environment;
+        for (PriorityClass priorityClass : PriorityClass.values()) {
+            retryBudgets.put(priorityClass, new RetryBudget(0));
+        }
     }
 
     void configure(Document accepted) {
         document = Optional.of(accepted);
-        callsBelow.clear();
-        double ratio = accepted.policy().retryBudget();
-        if (ratio != retryRatio) {
-            retryRatio = ratio;
-            retryBudget = new RetryBudget(ratio);
-        }
+        servicesBelow.clear();
+        declaredCalls = new DeclaredCalls(this::kind);
+        retryBudgets
+                .values()
+                .forEach(budget -> budget.configure(accepted.policy().retryBudget()));
     }
 
     Optional<Document> document() {
         return document;
     }
 
-    RetryBudget retryBudget() {
-        return retryBudget;
+    /** Returns the budget of a class; with one for all, shed classes would use up the retries of important calls. */
+    RetryBudget retryBudget(PriorityClass priorityClass) {
+        return retryBudgets.get(priorityClass);
     }
 
     /** Returns whether a call asks for a ticket only, which runs nothing. */
@@ -55,19 +63,27 @@
         return call.kind.atMostOnce() && call.inbound.ticket().isEmpty();
     }
 
-    /** Returns the number of calls declared in the whole tree below a kind. */
     private int callsBelow(Kind kind) {
-        Integer known = callsBelow.get(kind);
+        return declaredCalls.below(kind);
+    }
+
+    /** Returns the services that a request of this kind may reach below its own. */
+    Set<String> servicesBelow(Kind kind) {
+        Set<String> known = servicesBelow.get(kind);
         if (known != null) {
             return known;
         }
-        int sum = 0;
+        Set<String> found = new HashSet<>();
         for (Outcall outcall : kind.calls()) {
-            Optional<Kind> next = document.flatMap(current -> current.kind(outcall.service(), outcall.kind()));
-            sum += outcall.count() * (1 + (next.isPresent() ? callsBelow(next.get()) : 0));
+            found.add(outcall.service());
+            kind(outcall.service(), outcall.kind()).ifPresent(next -> found.addAll(servicesBelow(next)));
         }
-        callsBelow.put(kind, sum);
-        return sum;
+        servicesBelow.put(kind, found);
+        return found;
+    }
+
+    Optional<Kind> kind(String service, String name) {
+        return document.flatMap(known -> known.kind(service, name));
     }
 
     /** Fills in what a call may do, or returns why it is refused. */
@@ -136,7 +152,7 @@
         if (repeats > policy.retriesPerRequest()) {
             return refusal(ResultCode.RETRY_BOUND_REACHED, "attempt " + call.inbound.attempt() + " of the caller");
         }
-        if (!retryBudget.tryRetry(environment.now())) {
+        if (!retryBudget(call.priority.priorityClass()).tryRetry(environment.now())) {
             return refusal(ResultCode.RETRY_BOUND_REACHED, "the node's budget for retries is spent");
         }
         return Optional.empty();
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -100,7 +100,7 @@
             refuse(call, problem.get());
             return () -> {};
         }
-        preparation.retryBudget().attempted(environment.now());
+        preparation.retryBudget(call.priority.priorityClass()).attempted(environment.now());
         route(call);
         return () -> environment.duty().submit(() -> cancel(call));
     }
@@ -124,7 +124,7 @@
     }
 
     private Optional<Kind> kind(String service, String kind) {
-        return preparation.document().flatMap(known -> known.kind(service, kind));
+        return preparation.kind(service, kind);
     }
 
     private void route(EntryCall call) {
@@ -321,21 +321,39 @@
         if (!harmless
                 || call.allowance.remaining() == 0
                 || now >= call.deadline
-                || !preparation.retryBudget().tryRetry(now)) {
+                || levels.check(call.kind, call.priority.value(), now).isPresent()
+                || !preparation.retryBudget(call.priority.priorityClass()).tryRetry(now)) {
             return Optional.empty();
         }
         call.mayHaveRun |= lost;
         return call.allowance.retry(call.mayHaveRun);
     }
 
+    /**
+     * Notes the levels of a serving node's report.
+     *
+     * <p>A report lists deeper services only while they shed, so one that it leaves out admits all. Without this an
+     * entry node kept low levels for seconds after the service had recovered.
+     */
+    private void reportLevels(String vm, Kind kind, LoadReport load, long now) {
+        Integer own = load.levels().get(kind.service());
+        if (own == null) {
+            return;
+        }
+        levels.report(vm, kind.service(), own, now);
+        for (String service : preparation.servicesBelow(kind)) {
+            levels.report(vm, service, load.levels().getOrDefault(service, DownstreamLevels.ADMITS_ALL), now);
+        }
+    }
+
     /** Ends an attempt and returns whether the call still waited for it. */
     private boolean end(Attempt attempt, UpstreamEnd end, LoadReport load, OptionalInt unusedAllowance) {
         long now = environment.now();
         attempt.finish(end, now);
         String vm = attempt.upstream.vm().name();
         attempt.upstream.reported(load.inFlight(), load.queued(), now);
-        load.levels().forEach((service, level) -> levels.report(vm, service, level, now));
         EntryCall call = attempt.call;
+        reportLevels(vm, call.kind, load, now);
         if (call.attempt != attempt || call.done) {
             return false;
         }
