--- a/core/src/test/java/org/plantainshunt/routing/BackendServerChoiceTest.java
+++ b/core/src/test/java/org/plantainshunt/routing/BackendServerChoiceTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Function;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.plantainshunt.configuration.PriorityClass;
 import org.plantainshunt.configuration.Vm;
@@ -43,8 +44,7 @@
     /**
      * The bound must hold where the slowed server leaves its region with 120 % of its work.
      *
-     * <p>With 12 slots the ratio is only printed: a sixth of the region's calls have to make a detour of 37 ms, which
-     * leaves so little room that the queue of the first second takes the ratio to 1.4 to 1.8, depending on the seed.
+     * <p>A sixth of the region's calls have to make a detour of 37 ms, which leaves little room with few slots.
      */
     @Test
     void avoidsOneSlowedServerOfTwoInRegion() {
@@ -56,7 +56,17 @@
             }
             assertAtMostHalfMore(measure("two regions, our choice", scenario, RoutingModel::ours));
             Scenario small = new Scenario(nodes, 12, 0.6, 1, RoutingModel.fourDataCentres());
-            measure("two regions, our choice", small, RoutingModel::ours);
+            assertAtMostHalfMore(measure("two regions, our choice", small, RoutingModel::ours));
+        }
+    }
+
+    /** The same with few slots must not depend on the seed; listed in KNOWN-RED.txt. */
+    @Test
+    @Tag("known-red")
+    void avoidsOneSlowedServerOfTwoInRegionWithFewSlotsForEverySeed() {
+        Scenario small = new Scenario(4, 12, 0.6, 1, RoutingModel.fourDataCentres());
+        for (long seed = SEED; seed < SEED + 8; seed++) {
+            assertAtMostHalfMore(measure("two regions, seed " + seed, small, RoutingModel::ours, seed));
         }
     }
 
@@ -65,8 +75,12 @@
     }
 
     private static double measure(String name, Scenario scenario, Function<Random, Choice> choices) {
-        RoutingModel usual = new RoutingModel(scenario, choices, SEED).run(40 * SECOND);
-        RoutingModel slowed = new RoutingModel(scenario.slowed(10), choices, SEED).run(40 * SECOND);
+        return measure(name, scenario, choices, SEED);
+    }
+
+    private static double measure(String name, Scenario scenario, Function<Random, Choice> choices, long seed) {
+        RoutingModel usual = new RoutingModel(scenario, choices, seed).run(40 * SECOND);
+        RoutingModel slowed = new RoutingModel(scenario.slowed(10), choices, seed).run(40 * SECOND);
         double ratio = slowed.milliseconds(99) / usual.milliseconds(99);
         System.out.printf(
                 "%d nodes, %d slots, %s: p99 %.1f ms, slowed p99 %.1f ms (ratio %.2f), p999 %.1f ms%n",
