--- a/node/src/main/java/org/plantainshunt/node/StatusReport.java
+++ b/node/src/main/java/org/plantainshunt/node/StatusReport.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -11,6 +12,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.plantainshunt.call.Snapshot;
 import org.plantainshunt.configuration.AcceptedDocument;
+import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.DocumentVersion;
 
 /** Describes a node as JSON for the operators' tool. Safe for use by any thread. */
 final class StatusReport {
@@ -57,10 +60,10 @@
     }
 
     private static void describe(ObjectNode tree, AcceptedDocument configuration) {
-        tree.put(
-                "number", configuration.current().map(d -> d.version().number()).orElse(0L));
-        tree.put(
-                "digest", configuration.current().map(d -> d.version().digest()).orElse(""));
+        // Read once: between two reads another document may come into force, and the pair would name neither.
+        Optional<DocumentVersion> version = configuration.current().map(Document::version);
+        tree.put("number", version.map(DocumentVersion::number).orElse(0L));
+        tree.put("digest", version.map(DocumentVersion::digest).orElse(""));
         tree.put(
                 "rejection",
                 configuration.lastRejection().map(Throwable::getMessage).orElse(""));
