--- a/core/src/main/java/org/plantainshunt/configuration/AcceptedDocument.java
+++ b/core/src/main/java/org/plantainshunt/configuration/AcceptedDocument.java
@@ -15,6 +15,7 @@
  * }</pre>
  */
 public final class AcceptedDocument {
+    private final DocumentReader reader;
     private volatile Document current;
     private volatile InvalidDocumentException rejection;
 
@@ -23,6 +24,16 @@
 
     private Acceptance declinedAs = Acceptance.INVALID;
 
+    /** Accepts documents in the notation of {@link Document#parse}. */
+    public AcceptedDocument() {
+        this(Document::parse);
+    }
+
+    /** Accepts documents in another notation. */
+    public AcceptedDocument(DocumentReader reader) {
+        this.reader = reader;
+    }
+
     /**
      * Puts a document in force if it is valid and newer than the one in force.
      *
@@ -38,7 +49,7 @@
             return declinedAs;
         }
         try {
-            Document offered = Document.parse(bytes);
+            Document offered = reader.read(bytes);
             if (current != null && offered.version().compareTo(current.version()) < 0) {
                 return decline(digest, Acceptance.OLDER);
             }
--- a/core/src/main/java/org/plantainshunt/configuration/Document.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Document.java
@@ -29,7 +29,7 @@
     private final DocumentVersion version;
     private final DocumentContent content;
 
-    private Document(byte[] bytes, DocumentContent content) {
+    Document(byte[] bytes, DocumentContent content) {
         this.bytes = bytes;
         this.version = new DocumentVersion(content.number, digest(bytes));
         this.content = content;
@@ -96,6 +96,16 @@
         return Collections.unmodifiableCollection(content.kinds.values());
     }
 
+    /** Returns the routes by host and path; empty if requests name their service and kind themselves. */
+    public RouteTable routes() {
+        return content.routes;
+    }
+
+    /** Returns what a caller may send, and how long it may take. */
+    public RequestLimits requestLimits() {
+        return content.requestLimits;
+    }
+
     /** Returns the names of all regions. */
     public Collection<String> regions() {
         return Collections.unmodifiableCollection(content.regions);
--- a/core/src/main/java/org/plantainshunt/configuration/DocumentContent.java
+++ b/core/src/main/java/org/plantainshunt/configuration/DocumentContent.java
@@ -19,6 +19,8 @@
     final Map<RegionPair, Link> links = new LinkedHashMap<>();
     final Map<String, Service> services = new LinkedHashMap<>();
     final Map<KindName, Kind> kinds = new LinkedHashMap<>();
+    RouteTable routes = RouteTable.EMPTY;
+    RequestLimits requestLimits = RequestLimits.DEFAULT;
 
     /**
      * Names a kind of request.
--- a/core/src/main/java/org/plantainshunt/configuration/Kind.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Kind.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * A kind of request that a service takes.
@@ -11,9 +12,12 @@
  * @param service the service
  * @param name the name of the kind, unique within the service
  * @param priorityClass the class of a request that enters the system with this kind
- * @param atMostOnce whether a repeat would do harm, so that a ticket is needed
+ * @param atMostOnce whether a repeat would do harm
  * @param deadline the longest time for a whole answer, at most 30 s
  * @param calls the calls that the backend server may make for one request
+ * @param ticketed whether a caller needs a ticket to run it; without one, each attempt of a caller is a request of its
+ *     own, which the system sends at most once
+ * @param mostAttempts the most backend servers that one request may be sent to, if the policy's retries don't decide
  */
 public record Kind(
         String service,
@@ -21,9 +25,22 @@
         PriorityClass priorityClass,
         boolean atMostOnce,
         Duration deadline,
-        List<Outcall> calls) {
+        List<Outcall> calls,
+        boolean ticketed,
+        OptionalInt mostAttempts) {
     /** Copies the list of calls. */
     public Kind {
         calls = List.copyOf(calls);
     }
+
+    /** Creates a kind that needs a ticket if it runs at most once, with the policy's number of retries. */
+    public Kind(
+            String service,
+            String name,
+            PriorityClass priorityClass,
+            boolean atMostOnce,
+            Duration deadline,
+            List<Outcall> calls) {
+        this(service, name, priorityClass, atMostOnce, deadline, calls, atMostOnce, OptionalInt.empty());
+    }
 }
--- a/core/src/main/java/org/plantainshunt/configuration/Policy.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Policy.java
@@ -13,6 +13,7 @@
  * @param outcomeKeptFor the time for which the outcome of a ticket is kept after its end
  * @param largestBody the largest body of a request, in bytes
  * @param largestAnswer the largest body of an answer, in bytes
+ * @param retryFloor the retries of a node in 10 s, by service and class, that need no first attempts
  */
 public record Policy(
         int retriesPerRequest,
@@ -20,4 +21,26 @@
         Duration ticketUseWithin,
         Duration outcomeKeptFor,
         long largestBody,
-        long largestAnswer) {}
+        long largestAnswer,
+        double retryFloor) {
+    /** The usual floor of retries in 10 s. */
+    private static final double USUAL_RETRY_FLOOR = 10;
+
+    /** Creates a policy with the usual floor of retries, one a second. */
+    public Policy(
+            int retriesPerRequest,
+            double retryBudget,
+            Duration ticketUseWithin,
+            Duration outcomeKeptFor,
+            long largestBody,
+            long largestAnswer) {
+        this(
+                retriesPerRequest,
+                retryBudget,
+                ticketUseWithin,
+                outcomeKeptFor,
+                largestBody,
+                largestAnswer,
+                USUAL_RETRY_FLOOR);
+    }
+}
--- a/core/src/main/java/org/plantainshunt/configuration/Service.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Service.java
@@ -22,4 +22,10 @@
         int queue,
         Duration targetQueueDelay,
         double longWorkShare,
-        int longWorkAfter) {}
+        int longWorkAfter) {
+    /** Returns the same service with other slots, and a queue in the same proportion to them. */
+    public Service withSlots(int otherSlots) {
+        int otherQueue = (int) Math.max(1, (long) queue * otherSlots / slots);
+        return new Service(name, otherSlots, connections, otherQueue, targetQueueDelay, longWorkShare, longWorkAfter);
+    }
+}
--- a/core/src/main/java/org/plantainshunt/configuration/Vm.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Vm.java
@@ -1,5 +1,8 @@
 package org.plantainshunt.configuration;
 
+import java.util.Optional;
+import java.util.OptionalInt;
+
 /**
  * An entry of the VM list: a VM with a backend server and the node beside it.
  *
@@ -11,5 +14,20 @@
  * @param address the IP address
  * @param innerPort the port of the node's inner protocol
  * @param leaving whether the list says that the VM is leaving
+ * @param slots the slots of its backend server, where they differ from those of the service
+ * @param instance the id of the running backend server, if the list states one
  */
-public record Vm(String name, String service, String dataCentre, String address, int innerPort, boolean leaving) {}
+public record Vm(
+        String name,
+        String service,
+        String dataCentre,
+        String address,
+        int innerPort,
+        boolean leaving,
+        OptionalInt slots,
+        Optional<String> instance) {
+    /** Creates an entry that states neither slots nor an instance. */
+    public Vm(String name, String service, String dataCentre, String address, int innerPort, boolean leaving) {
+        this(name, service, dataCentre, address, innerPort, leaving, OptionalInt.empty(), Optional.empty());
+    }
+}
--- a/core/src/main/java/org/plantainshunt/configuration/VmList.java
+++ b/core/src/main/java/org/plantainshunt/configuration/VmList.java
@@ -8,6 +8,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.regex.Pattern;
 
@@ -27,10 +29,12 @@
     private static final String HEAD = "vm-list";
     private static final String VM_PREFIX = "vm ";
     private static final int LARGEST_PORT = 65_535;
-    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_-]*");
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*");
     private static final Pattern IP4 = Pattern.compile("((25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)(\\.|$)){4}(?<!\\.)");
     private static final Pattern IP6 = Pattern.compile("[0-9a-fA-F]{0,4}(:[0-9a-fA-F]{0,4}){2,7}");
-    private static final List<String> VM_KEYS = List.of("service", "data-centre", "address", "inner-port", "state");
+    private static final List<String> VM_KEYS =
+            List.of("service", "data-centre", "address", "inner-port", "state", "slots", "instance");
+    private static final int MOST_SLOTS = 1_000_000;
 
     /** Copies the list of VMs. */
     public VmList {
@@ -49,6 +53,8 @@
      * address = 10.0.0.4
      * inner-port = 7001
      * state = live
+     * slots = 130
+     * instance = i-7f3a
      * }</pre>
      *
      * @throws InvalidVmListException with every error, if the text is no valid VM list
@@ -57,6 +63,23 @@
         return new Parser().parse(text);
     }
 
+    /** Returns the list in the notation of {@link #parse}. */
+    public String text() {
+        StringBuilder text = new StringBuilder("[" + HEAD + "]\nrevision = " + revision + "\n");
+        for (Vm vm : vms) {
+            text.append("\n[").append(VM_PREFIX).append(vm.name()).append("]\nservice = ");
+            text.append(vm.service()).append("\ndata-centre = ").append(vm.dataCentre());
+            text.append("\naddress = ")
+                    .append(vm.address())
+                    .append("\ninner-port = ")
+                    .append(vm.innerPort());
+            text.append("\nstate = ").append(vm.leaving() ? "leaving" : "live").append('\n');
+            vm.slots().ifPresent(slots -> text.append("slots = ").append(slots).append('\n'));
+            vm.instance().ifPresent(id -> text.append("instance = ").append(id).append('\n'));
+        }
+        return text.toString();
+    }
+
     @Override
     public int compareTo(VmList other) {
         return Long.compare(revision, other.revision);
@@ -110,7 +133,7 @@
         private void vm(String heading, ImmutableNode section) {
             String name = heading.substring(VM_PREFIX.length()).trim();
             if (!NAME.matcher(name).matches()) {
-                errors.add("[" + heading + "]: \"" + name + "\" is not a name of letters, digits, '-' and '_'");
+                errors.add("[" + heading + "]: \"" + name + "\" is not a name of letters, digits, '.', '-' and '_'");
             }
             checkKeys(heading, section, VM_KEYS);
             String service = word(heading, section, "service");
@@ -128,7 +151,17 @@
             if (earlier != null && !address.isEmpty()) {
                 errors.add("[" + heading + "]: " + address + " port " + port + " is already that of " + earlier);
             }
-            vms.add(new Vm(name, service, dataCentre, address, port, state.equals("leaving")));
+            OptionalInt slots = stated(section, "slots")
+                    ? OptionalInt.of((int) number(heading, section, "slots", 1, MOST_SLOTS))
+                    : OptionalInt.empty();
+            Optional<String> instance =
+                    stated(section, "instance") ? Optional.of(word(heading, section, "instance")) : Optional.empty();
+            vms.add(new Vm(name, service, dataCentre, address, port, state.equals("leaving"), slots, instance));
+        }
+
+        private static boolean stated(ImmutableNode section, String key) {
+            return section.getChildren().stream()
+                    .anyMatch(child -> child.getNodeName().equals(key));
         }
 
         private void checkKeys(String heading, ImmutableNode section, Collection<String> known) {
--- a/core/src/main/java/org/plantainshunt/membership/Membership.java
+++ b/core/src/main/java/org/plantainshunt/membership/Membership.java
@@ -181,7 +181,7 @@
 
     private void place(Entry entry, Vm vm, long now) {
         Distance distance = distance(vm);
-        int slots = slotsOfService.applyAsInt(vm.service());
+        int slots = vm.slots().orElseGet(() -> slotsOfService.applyAsInt(vm.service()));
         if (entry.upstream != null && entry.upstream.vm().service().equals(vm.service())) {
             entry.upstream.configure(vm, distance, slots);
             return;
--- /dev/null
+++ b/core/src/main/java/org/plantainshunt/membership/VmRegistry.java
@@ -0,0 +1,126 @@
+package org.plantainshunt.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.configuration.VmList;
+
+/**
+ * Builds VM lists from single registrations, each of which lasts until its backend server leaves or falls silent.
+ *
+ * <p>Registrations lapse while the platform's store is away, although the backend servers live. One that disappears
+ * during an outage, or until {@link #RETURN_TIME} after it, is therefore kept until that time has passed. The lists of
+ * one store revision are ordered: a list that still holds such registrations comes before one that holds none.
+ *
+ * <p>If several registrations state one address, the youngest backend server is there. Confined to one thread.
+ */
+public final class VmRegistry {
+    /**
+     * The time in which registrations that lapsed during an outage return, in nanoseconds: the platform states two
+     * seconds, and a read may take a moment.
+     */
+    public static final long RETURN_TIME = TimeUnit.MILLISECONDS.toNanos(2_200);
+
+    private final Map<String, Registration> registrations = new TreeMap<>();
+    private final Map<String, Long> missing = new HashMap<>();
+    private boolean away;
+    private long restoredAt = Long.MIN_VALUE / 2;
+    private long revision;
+
+    /**
+     * A registered backend server.
+     *
+     * @param vm its VM
+     * @param startedAt when it started, in milliseconds since 1970; 0 if that is not known
+     */
+    public record Registration(Vm vm, long startedAt) {}
+
+    /** Notes that the store does not answer. */
+    public void interrupted() {
+        away = true;
+    }
+
+    /** Notes that the store answers, at a time in nanoseconds. */
+    public void restored(long now) {
+        if (away) {
+            away = false;
+            restoredAt = now;
+        }
+    }
+
+    /**
+     * Replaces all registrations by those of a complete read.
+     *
+     * @param read the registrations by their id
+     * @param atRevision the store's revision at the beginning of the read
+     * @param now the time in nanoseconds
+     */
+    public void replace(Map<String, Registration> read, long atRevision, long now) {
+        Set<String> gone = new HashSet<>(registrations.keySet());
+        gone.removeAll(read.keySet());
+        gone.forEach(id -> removed(id, atRevision, now));
+        read.forEach((id, registration) -> put(id, registration, atRevision));
+        revision = Math.max(revision, atRevision);
+    }
+
+    /** Adds or changes a registration. */
+    public void put(String id, Registration registration, long atRevision) {
+        registrations.put(id, registration);
+        missing.remove(id);
+        revision = Math.max(revision, atRevision);
+    }
+
+    /** Removes a registration, now or when it has had the time to return. */
+    public void removed(String id, long atRevision, long now) {
+        revision = Math.max(revision, atRevision);
+        if (!registrations.containsKey(id)) {
+            return;
+        }
+        if (now - restoredAt < RETURN_TIME) {
+            missing.putIfAbsent(id, restoredAt + RETURN_TIME);
+            return;
+        }
+        registrations.remove(id);
+    }
+
+    /** Returns when the next kept registration must return or is gone, in nanoseconds; empty if none is kept. */
+    public OptionalLong nextExpiry() {
+        return missing.values().stream().mapToLong(Long::longValue).min();
+    }
+
+    /** Drops the registrations that did not return in time; returns whether there were any. */
+    public boolean expire(long now) {
+        Set<String> late = new HashSet<>();
+        missing.forEach((id, until) -> {
+            if (now - until >= 0) {
+                late.add(id);
+            }
+        });
+        missing.keySet().removeAll(late);
+        registrations.keySet().removeAll(late);
+        return !late.isEmpty();
+    }
+
+    /** Returns the list as it is now, in an order that depends on its content alone. */
+    public VmList list() {
+        Map<String, Registration> byAddress = new TreeMap<>();
+        for (Registration registration : registrations.values()) {
+            byAddress.merge(registration.vm().address(), registration, VmRegistry::younger);
+        }
+        List<Vm> vms = new ArrayList<>();
+        byAddress.values().forEach(registration -> vms.add(registration.vm()));
+        return new VmList(2 * revision + (missing.isEmpty() ? 1 : 0), vms);
+    }
+
+    private static Registration younger(Registration one, Registration other) {
+        return other.startedAt() >= one.startedAt() ? other : one;
+    }
+}
--- a/core/src/main/java/org/plantainshunt/retry/RetryBudget.java
+++ b/core/src/main/java/org/plantainshunt/retry/RetryBudget.java
@@ -5,12 +5,12 @@
 /**
  * The retries of a node as a share of its first attempts.
  *
- * <p>Within any 10 s the node retries at most {@code ratio} times its first attempts, plus one a second, so that a
+ * <p>Within any 10 s the node retries at most {@code ratio} times its first attempts, plus a floor of one a second unless stated otherwise, so that a
  * failure of the whole fleet does not multiply the load. The window moves in steps of one second. Confined to one
  * thread.
  */
 public final class RetryBudget {
-    /** The window, in seconds; it is also the number of retries that are permitted without any first attempt. */
+    /** The window, in seconds; it is also the usual floor, one retry a second. */
     private static final int WINDOW_SECONDS = 10;
 
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -18,6 +18,7 @@
     private final int[] attempts = new int[WINDOW_SECONDS];
     private final int[] retries = new int[WINDOW_SECONDS];
     private double ratio;
+    private final double floor;
     private long currentSecond = Long.MIN_VALUE;
 
     /**
@@ -26,7 +27,18 @@
      * @param ratio the retries permitted for each first attempt, 0 to 1
      */
     public RetryBudget(double ratio) {
+        this(ratio, WINDOW_SECONDS);
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio the retries permitted for each first attempt, 0 to 1
+     * @param floor the retries permitted in any 10 s without a first attempt
+     */
+    public RetryBudget(double ratio, double floor) {
         this.ratio = ratio;
+        this.floor = floor;
     }
 
     /** Changes the ratio, 0 to 1, when another configuration comes into force. */
@@ -52,7 +64,7 @@
      */
     public boolean tryRetry(long now) {
         moveTo(now);
-        if (sum(retries) + 1 > ratio * sum(attempts) + WINDOW_SECONDS) {
+        if (sum(retries) + 1 > ratio * sum(attempts) + floor) {
             return false;
         }
         retries[bucket()]++;
--- a/node/src/main/java/org/plantainshunt/call/BackendServer.java
+++ b/node/src/main/java/org/plantainshunt/call/BackendServer.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.call;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.plantainshunt.protocol.Header;
 
@@ -30,6 +31,7 @@
      * @param context the token for the backend server's own calls
      * @param traceParent the W3C trace parent, or an empty text
      * @param deadline the deadline in nanoseconds of the node's monotonic clock
+     * @param instance the id of the backend server that the platform lists for this VM, if it lists ids
      */
     record Handover(
             String callId,
@@ -41,12 +43,17 @@
             String requestId,
             String context,
             String traceParent,
-            long deadline) {}
+            long deadline,
+            Optional<String> instance) {}
 
     /** How far a request got before it failed. */
     enum FailureStage {
         /** No byte was written. */
         BEFORE_SENT,
+        /** The backend server states that it did not run the request. */
+        NOT_RUN,
+        /** Another backend server than the expected one is at the address and did not run the request. */
+        OTHER_INSTANCE,
         /** Some of the request may have been delivered. */
         AFTER_SENT,
         /** The answer began and broke off. */
--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -1,6 +1,5 @@
 package org.plantainshunt.call;
 
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -31,19 +30,17 @@
     private final Map<Kind, Set<String>> servicesBelow = new HashMap<>();
     private DeclaredCalls declaredCalls = new DeclaredCalls(this::kind);
     private Optional<Document> document = Optional.empty();
-    private final Map<PriorityClass, RetryBudget> retryBudgets = new EnumMap<>(PriorityClass.class);
+    private final Map<BudgetKey, RetryBudget> retryBudgets = new HashMap<>();
 
     CallPreparation(Environment environment) {
         this.environment = environment;
-        for (PriorityClass priorityClass : PriorityClass.values()) {
-            retryBudgets.put(priorityClass, new RetryBudget(0));
-        }
     }
 
     void configure(Document accepted) {
         document = Optional.of(accepted);
         servicesBelow.clear();
         declaredCalls = new DeclaredCalls(this::kind);
+        retryBudgets.keySet().removeIf(key -> accepted.service(key.service()).isEmpty());
         retryBudgets
                 .values()
                 .forEach(budget -> budget.configure(accepted.policy().retryBudget()));
@@ -53,14 +50,20 @@
         return document;
     }
 
-    /** Returns the budget of a class; with one for all, shed classes would use up the retries of important calls. */
-    RetryBudget retryBudget(PriorityClass priorityClass) {
-        return retryBudgets.get(priorityClass);
+    /**
+     * Returns the budget of a call's service and class; with one for all, shed classes would use up the retries of
+     * important calls, and retries to one service those to another.
+     */
+    RetryBudget retryBudget(EntryCall call) {
+        Policy policy = document.orElseThrow().policy();
+        return retryBudgets.computeIfAbsent(
+                new BudgetKey(call.kind.service(), call.priority.priorityClass()),
+                key -> new RetryBudget(policy.retryBudget(), policy.retryFloor()));
     }
 
     /** Returns whether a call asks for a ticket only, which runs nothing. */
     static boolean needsTicket(EntryCall call) {
-        return call.kind.atMostOnce() && call.inbound.ticket().isEmpty();
+        return call.kind.ticketed() && call.inbound.ticket().isEmpty();
     }
 
     private int callsBelow(Kind kind) {
@@ -145,19 +148,24 @@
         Policy policy = document.orElseThrow().policy();
         int repeats = call.inbound.attempt() - 1;
         call.priority = rootPriority(call);
-        call.allow(new Share(Math.max(0, policy.retriesPerRequest() - repeats), false), callsBelow(call.kind));
+        call.allow(new Share(Math.max(0, mostRetries(call.kind, policy) - repeats), false), callsBelow(call.kind));
         if (repeats == 0 || call.inbound.ticket().isPresent()) {
             return Optional.empty();
         }
         if (repeats > policy.retriesPerRequest()) {
             return refusal(ResultCode.RETRY_BOUND_REACHED, "attempt " + call.inbound.attempt() + " of the caller");
         }
-        if (!retryBudget(call.priority.priorityClass()).tryRetry(environment.now())) {
+        if (!retryBudget(call).tryRetry(environment.now())) {
             return refusal(ResultCode.RETRY_BOUND_REACHED, "the node's budget for retries is spent");
         }
         return Optional.empty();
     }
 
+    private static int mostRetries(Kind kind, Policy policy) {
+        int attempts = kind.mostAttempts().orElse(Integer.MAX_VALUE);
+        return Math.min(policy.retriesPerRequest(), attempts - 1);
+    }
+
     private static Priority rootPriority(EntryCall call) {
         return Priority.of(call.kind.priorityClass(), Priority.cohortOf(call.inbound.requestId()));
     }
@@ -165,4 +173,7 @@
     private static Optional<Refusal> refusal(ResultCode code, String detail) {
         return Optional.of(Refusal.of(code, detail));
     }
+
+    /** What a retry budget is for. */
+    private record BudgetKey(String service, PriorityClass priorityClass) {}
 }
--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -14,7 +14,7 @@
 import org.plantainshunt.configuration.Service;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.configuration.VmList;
-import org.plantainshunt.duty.Duty;
+import org.plantainshunt.duty.Worker;
 import org.plantainshunt.execution.TicketTable;
 import org.plantainshunt.membership.Membership;
 import org.plantainshunt.protocol.AnswerListener;
@@ -42,7 +42,7 @@
     private static final int TICKETS = 50_000;
     private static final Duration TICK = Duration.ofMillis(10);
 
-    private final Duty duty;
+    private final Worker duty;
     private final LongSupplier clock;
     private final Membership membership;
     private final Connections connections;
@@ -53,9 +53,11 @@
     private final Identity identity;
     private Optional<Document> document = Optional.empty();
     private VmList vmList;
+    private boolean leaving;
+    private boolean listedLeaving;
     private volatile Snapshot snapshot = Snapshot.EMPTY;
 
-    /** Starts the thread of the decisions. */
+    /** Starts the decisions on a worker of their own. */
     public Decisions(
             Identity identity,
             BackendServer backendServer,
@@ -63,10 +65,11 @@
             LongSupplier clock,
             RandomGenerator random,
             CallRecorder recorder,
-            HopTracer tracer) {
+            HopTracer tracer,
+            Worker.Factory workers) {
         this.identity = identity;
         this.clock = clock;
-        duty = new Duty("decisions", RING_SIZE, TICK, this::tick);
+        duty = workers.start("decisions", RING_SIZE, TICK, this::tick);
         Environment environment = new Environment(duty, clock, recorder, tracer, new CallContexts(random));
         links = new LinkBudgets(identity.dataCentre());
         membership = new Membership(identity.dataCentre(), links::region, this::slots);
@@ -95,11 +98,30 @@
         duty.submit(() -> {
             vmList = list;
             membership.vmList(list, clock.getAsLong());
+            list.vms().stream()
+                    .filter(vm -> vm.name().equals(identity.vm()))
+                    .findFirst()
+                    .ifPresent(this::listed);
             connections.retain(list.vms());
             shareLinks();
         });
     }
 
+    /** A list that names instances tells of the backend server itself, so its node refuses what comes too late. */
+    private void listed(Vm own) {
+        serving.listed(own);
+        listedLeaving = own.leaving() && own.instance().isPresent();
+        drainOrServe();
+    }
+
+    private void drainOrServe() {
+        if (leaving || listedLeaving) {
+            serving.drain();
+        } else {
+            serving.serve();
+        }
+    }
+
     /** Takes a caller's call, or returns false if the node is busy. */
     public boolean call(InboundCall inbound, ReplyListener reply, Consumer<CancelHandle> cancellation) {
         return duty.offer(() -> cancellation.accept(entry.call(inbound, reply)));
@@ -153,13 +175,10 @@
     }
 
     /** Refuses new work of this node's backend server, or takes it again. */
-    public void drain(boolean leaving) {
+    public void drain(boolean nowLeaving) {
         duty.submit(() -> {
-            if (leaving) {
-                serving.drain();
-            } else {
-                serving.serve();
-            }
+            leaving = nowLeaving;
+            drainOrServe();
         });
     }
 
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -100,7 +100,7 @@
             refuse(call, problem.get());
             return () -> {};
         }
-        preparation.retryBudget(call.priority.priorityClass()).attempted(environment.now());
+        preparation.retryBudget(call).attempted(environment.now());
         route(call);
         return () -> environment.duty().submit(() -> cancel(call));
     }
@@ -300,7 +300,7 @@
         dispatch(call, share.get());
     }
 
-    /** Returns the refusal of a call with a ticket, with "not run" only where the ticket can never run any more. */
+    /** Returns the refusal of a call that was delivered before, with "not run" only where its ticket can never run. */
     private static Refusal honest(Refusal refusal, boolean fromServingNode) {
         if (refusal.code().runState() != RunState.NOT_RUN) {
             return refusal;
@@ -308,7 +308,7 @@
         if (fromServingNode && VOIDING.contains(refusal.code())) {
             return refusal;
         }
-        String detail = "an earlier delivery of the ticket may have run; this one met "
+        String detail = "an earlier delivery may have run; this one met "
                 + refusal.code().number() + " " + refusal.detail();
         return new Refusal(ResultCode.OUTCOME_UNKNOWN, detail, refusal.retryAfterMilliseconds());
     }
@@ -322,7 +322,7 @@
                 || call.allowance.remaining() == 0
                 || now >= call.deadline
                 || levels.check(call.kind, call.priority.value(), now).isPresent()
-                || !preparation.retryBudget(call.priority.priorityClass()).tryRetry(now)) {
+                || !preparation.retryBudget(call).tryRetry(now)) {
             return Optional.empty();
         }
         call.mayHaveRun |= lost;
@@ -383,9 +383,10 @@
         refuse(call, Refusal.of(ResultCode.CANCELLED_RUNNING, "the caller went away"));
     }
 
-    /** Refuses a call by this node's own decision, which says nothing about earlier deliveries of its ticket. */
+    /** Refuses a call by this node's own decision, which says nothing about its earlier deliveries. */
     private void refuse(EntryCall call, Refusal refusal) {
-        refuseFinally(call, call.inbound.ticket().isPresent() ? honest(refusal, false) : refusal);
+        boolean earlierDelivery = call.inbound.ticket().isPresent() || call.mayHaveRun;
+        refuseFinally(call, earlierDelivery ? honest(refusal, false) : refusal);
     }
 
     private void refuseFinally(EntryCall call, Refusal refusal) {
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -16,6 +17,7 @@
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Kind;
 import org.plantainshunt.configuration.Service;
+import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.execution.Outcome;
 import org.plantainshunt.execution.Ticket;
 import org.plantainshunt.execution.TicketTable;
@@ -31,6 +33,7 @@
 import org.plantainshunt.result.Refusal;
 import org.plantainshunt.result.RefusedException;
 import org.plantainshunt.result.ResultCode;
+import org.plantainshunt.result.RunState;
 import org.plantainshunt.retry.AllowanceLedger;
 
 /**
@@ -56,6 +59,8 @@
     private final Map<CallEntry, ServedCall> calls = new HashMap<>();
     private final Map<String, ServedCall> byTicket = new HashMap<>();
     private Optional<Document> document = Optional.empty();
+    private OptionalInt ownSlots = OptionalInt.empty();
+    private Optional<String> instance = Optional.empty();
     private AdmissionQueue queue;
     private boolean draining;
     private long nextCall;
@@ -81,15 +86,25 @@
         if (service.isEmpty()) {
             return;
         }
-        environment.recorder().limits(service.get(), environment.now());
+        Service limits = ownSlots.isPresent() ? service.get().withSlots(ownSlots.getAsInt()) : service.get();
+        environment.recorder().limits(limits, environment.now());
         if (queue == null) {
-            queue = new AdmissionQueue(service.get(), this::refusedByQueue);
+            queue = new AdmissionQueue(limits, this::refusedByQueue);
             return;
         }
-        queue.configure(service.get());
+        queue.configure(limits);
         startReady(environment.now());
     }
 
+    /** Takes what the VM list states of the backend server beside this node. */
+    void listed(Vm own) {
+        instance = own.instance();
+        if (!ownSlots.equals(own.slots())) {
+            ownSlots = own.slots();
+            document.ifPresent(this::configure);
+        }
+    }
+
     /** Takes a call from an entry node, which may be this one. */
     CancelHandle call(String fromVm, CallMessage message, long arrived, AnswerListener reply) {
         long now = environment.now();
@@ -101,7 +116,7 @@
         }
         long deadline = arrived + TimeUnit.MILLISECONDS.toNanos(message.deadlineMilliseconds());
         ServedCall call = new ServedCall(message, kind.get(), entry(message, kind.get(), deadline, arrived), reply);
-        if (kind.get().atMostOnce() && !beginTicket(call, now)) {
+        if (kind.get().ticketed() && !beginTicket(call, now)) {
             return () -> cancelWaiter(message.ticket().orElse(""), reply);
         }
         calls.put(call.entry, call);
@@ -206,10 +221,18 @@
         if (!message.service().equals(serviceName) || queue == null) {
             return Optional.of(Refusal.of(ResultCode.UNKNOWN_SERVICE, "this node serves " + serviceName));
         }
+        if (kind.isEmpty()
+                && message.documentNumber() != document.get().version().number()) {
+            return Optional.of(Refusal.of(
+                    ResultCode.NOT_READY,
+                    "kind " + message.kind() + " is not in configuration "
+                            + document.get().version().number() + ", the call was routed by "
+                            + message.documentNumber()));
+        }
         if (kind.isEmpty()) {
             return Optional.of(Refusal.of(ResultCode.UNKNOWN_KIND, "no kind " + message.kind()));
         }
-        if (kind.get().atMostOnce() && message.ticket().isEmpty()) {
+        if (kind.get().ticketed() && message.ticket().isEmpty()) {
             return Optional.of(Refusal.of(ResultCode.TICKET_REQUIRED, "the call carries no ticket"));
         }
         return Optional.empty();
@@ -296,7 +319,8 @@
                 message.requestId(),
                 call.context,
                 call.hop.traceParent(),
-                call.entry.deadline());
+                call.entry.deadline(),
+                instance);
         backendServer.send(handover, new EndListener(call));
     }
 
@@ -341,7 +365,7 @@
 
     private void refusedBeforeHandover(ServedCall call, Refusal refusal, long now) {
         calls.remove(call.entry);
-        if (call.kind.atMostOnce()) {
+        if (call.kind.ticketed()) {
             String ticket = call.message.ticket().orElseThrow();
             byTicket.remove(ticket);
             tickets.refused(ticket, refusal, now);
@@ -366,7 +390,7 @@
 
     private void answered(ServedCall call, int status, List<Header> headers, byte[] body) {
         long now = environment.now();
-        if (call.kind.atMostOnce()) {
+        if (call.kind.ticketed()) {
             String ticket = call.message.ticket().orElseThrow();
             byTicket.remove(ticket);
             tickets.answered(ticket, outcome(status, headers, body), now);
@@ -395,14 +419,15 @@
     private void failed(ServedCall call, BackendServer.FailureStage stage, String detail) {
         long now = environment.now();
         Refusal refusal = Refusal.of(code(stage), detail);
-        if (stage == BackendServer.FailureStage.BEFORE_SENT) {
-            environment.recorder().ended(call.entry, CallEnd.FAILED, now);
-            queue.finished(call.entry, CallEnd.FAILED, now);
+        if (refusal.code().runState() == RunState.NOT_RUN) {
+            CallEnd end = stage == BackendServer.FailureStage.NOT_RUN ? CallEnd.SHED_BY_BACKEND_SERVER : CallEnd.FAILED;
+            environment.recorder().ended(call.entry, end, now);
+            queue.finished(call.entry, end, now);
             refusedBeforeHandover(call, refusal, now);
             startReady(now);
             return;
         }
-        if (call.kind.atMostOnce()) {
+        if (call.kind.ticketed()) {
             String ticket = call.message.ticket().orElseThrow();
             byTicket.remove(ticket);
             tickets.unknown(ticket, refusal, now);
@@ -414,7 +439,10 @@
     private static ResultCode code(BackendServer.FailureStage stage) {
         switch (stage) {
             case BEFORE_SENT:
+            case OTHER_INSTANCE:
                 return ResultCode.CONNECT_FAILED;
+            case NOT_RUN:
+                return ResultCode.OVERLOADED;
             case ANSWER_CUT:
                 return ResultCode.ANSWER_CUT;
             case ANSWER_TOO_LARGE:
--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +37,9 @@
     private static final long SEED_WAIT = TimeUnit.SECONDS.toNanos(3);
     private static final long EXCHANGE_EVERY = TimeUnit.SECONDS.toNanos(1);
     private static final long FIRST_POLL_WITHIN = TimeUnit.SECONDS.toNanos(2);
+    private static final long FIRST_WATCH_WITHIN = TimeUnit.MILLISECONDS.toNanos(300);
+    /** The pause after a failed watch; half of it is random, so that nodes don't return together. */
+    private static final long WATCH_PAUSE = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final String ownVm;
     private final Platform platform;
@@ -45,7 +47,8 @@
     private final Listener listener;
     private final LongSupplier clock;
     private final RandomGenerator random;
-    private final AcceptedDocument configuration = new AcceptedDocument();
+    private final AcceptedDocument configuration;
+    private final DocumentFormats formats;
     private final Map<DocumentKind, DocumentState> states = new EnumMap<>(DocumentKind.class);
     private final List<InetSocketAddress> seeds;
     private final long startedAt;
@@ -67,6 +70,21 @@
             Listener listener,
             LongSupplier clock,
             RandomGenerator random) {
+        this(ownVm, seeds, platform, peers, listener, clock, random, DocumentFormats.INI);
+    }
+
+    /** Creates the control for documents of these notations; {@link #runOn} must follow before anything else. */
+    public FleetControl(
+            String ownVm,
+            List<InetSocketAddress> seeds,
+            Platform platform,
+            Peers peers,
+            Listener listener,
+            LongSupplier clock,
+            RandomGenerator random,
+            DocumentFormats formats) {
+        this.formats = formats;
+        this.configuration = new AcceptedDocument(formats.configuration());
         this.ownVm = ownVm;
         this.seeds = List.copyOf(seeds);
         this.platform = platform;
@@ -145,7 +163,8 @@
     }
 
     private long firstPoll() {
-        return startedAt + random.nextLong(FIRST_POLL_WITHIN);
+        // A platform that is watched is asked once at a start, so its reads need not be spread over as long.
+        return startedAt + random.nextLong(platform.waitsForChange() ? FIRST_WATCH_WITHIN : FIRST_POLL_WITHIN);
     }
 
     private void pollWhenDue(DocumentKind kind, DocumentState state, long now) {
@@ -158,13 +177,23 @@
 
     private void polled(DocumentKind kind, DocumentState state, Platform.Answer answer) {
         state.polling = false;
-        int fleetSize = vmList.map(list -> list.vms().size()).orElse(1);
-        state.nextPoll = clock.getAsLong() + state.gossip.nextPoll(fleetSize).toNanos();
+        state.nextPoll = clock.getAsLong() + pause(state, answer.state());
         state.reachable(kind, answer.state() != Platform.State.FAILED, answer.detail());
         if (answer.state() == Platform.State.NEW_DOCUMENT) {
             state.entityTag = answer.entityTag();
             offer(kind, answer.body(), "the platform");
         }
+        if (state.nextPoll <= clock.getAsLong()) {
+            pollWhenDue(kind, state, clock.getAsLong());
+        }
+    }
+
+    private long pause(DocumentState state, Platform.State answered) {
+        if (!platform.waitsForChange()) {
+            int fleetSize = vmList.map(list -> list.vms().size()).orElse(1);
+            return state.gossip.nextPoll(fleetSize).toNanos();
+        }
+        return answered == Platform.State.FAILED ? WATCH_PAUSE / 2 + random.nextLong(WATCH_PAUSE / 2) : 0;
     }
 
     private void offer(DocumentKind kind, byte[] bytes, String source) {
@@ -207,7 +236,7 @@
     private Optional<DocumentVersion> offerVmList(byte[] bytes, String source) {
         VmList parsed;
         try {
-            parsed = VmList.parse(new String(bytes, StandardCharsets.UTF_8));
+            parsed = formats.vmList().read(bytes);
         } catch (InvalidVmListException e) {
             LOGGER.warn("rejected a VM list from {}: {}", source, e.getMessage());
             return Optional.empty();
--- a/node/src/main/java/org/plantainshunt/control/Platform.java
+++ b/node/src/main/java/org/plantainshunt/control/Platform.java
@@ -4,8 +4,7 @@
 import java.util.function.Consumer;
 
 /** Reads the platform's configuration service without blocking. Implementations are safe for use by any thread. */
-@FunctionalInterface
-public interface Platform {
+public interface Platform extends AutoCloseable {
     /**
      * Reads a document.
      *
@@ -15,6 +14,14 @@
      */
     void read(String name, Optional<String> entityTag, Consumer<Answer> listener);
 
+    /** Returns whether a read with a tag waits for a newer document, so that it may follow the last one at once. */
+    default boolean waitsForChange() {
+        return false;
+    }
+
+    @Override
+    default void close() {}
+
     /**
      * What the platform answered.
      *
--- a/node/src/main/java/org/plantainshunt/duty/Duty.java
+++ b/node/src/main/java/org/plantainshunt/duty/Duty.java
@@ -22,7 +22,7 @@
  *
  * <p>Example: {@code duty.offer(() -> queue.add(call))} from an event loop.
  */
-public final class Duty implements TaskRunner, AutoCloseable {
+public final class Duty implements Worker {
     private static final Logger LOGGER = LoggerFactory.getLogger(Duty.class);
     private static final int STOP_SECONDS = 2;
 
@@ -76,7 +76,7 @@
         ring.publishEvent((slot, sequence) -> slot.task = task);
     }
 
-    /** Returns the share of the ring that is in use, 0 to 1. */
+    @Override
     public double fill() {
         return 1.0 - (double) ring.remainingCapacity() / ring.getBufferSize();
     }
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnection.java
@@ -0,0 +1,217 @@
+package org.plantainshunt.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.plantainshunt.call.BackendServer.FailureStage;
+import org.plantainshunt.protocol.Header;
+
+/**
+ * One connection to the backend server.
+ *
+ * <p>An answer that belongs to another request is dropped, and the connection is not used again. Bytes that arrive while
+ * no request is open close the connection. Confined to the event loop.
+ */
+final class BackendConnection extends ChannelInboundHandlerAdapter {
+    private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+    /** How long a connection may be idle if the backend server does not state its own limit. */
+    private static final long UNSTATED_IDLE = TimeUnit.SECONDS.toNanos(2);
+    /** The share of the backend server's limit after which a connection is no longer used: its close may be on its way. */
+    private static final double USED_SHARE_OF_IDLE = 0.6;
+
+    private final BackendConnections pool;
+    private ChannelHandlerContext context;
+    private Optional<BackendConnections.Exchange> current = Optional.empty();
+    private HttpResponse head;
+    private boolean own;
+    private ByteArrayOutputStream body;
+    private boolean keep = true;
+    private boolean releaseWhenRead;
+    private long idleSince;
+    private long idleLimit = UNSTATED_IDLE;
+
+    BackendConnection(BackendConnections pool) {
+        this.pool = pool;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    /** Returns whether a request may be sent at a time in nanoseconds. */
+    boolean reusable(long now) {
+        return keep && context.channel().isActive() && idleFor(now) < idleLimit;
+    }
+
+    long idleFor(long now) {
+        return now - idleSince;
+    }
+
+    void send(BackendConnections.Exchange exchange) {
+        current = Optional.of(exchange);
+        HttpCall call = exchange.request().call();
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(call.method()),
+                call.target(),
+                Unpooled.wrappedBuffer(call.body()));
+        for (Header header : call.headers()) {
+            request.headers().add(header.name(), header.value());
+        }
+        if (call.body().length > 0 || !call.method().equals(HttpMethod.GET.name())) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+        }
+        context.writeAndFlush(request).addListener(written -> {
+            if (!written.isSuccess()) {
+                // Some of the request may have left before the write failed.
+                fail(FailureStage.AFTER_SENT, "the request could not be written: " + written.cause());
+            }
+        });
+    }
+
+    /** Makes the connection available for the next request. */
+    void release() {
+        idleSince = pool.now();
+        pool.released(this);
+    }
+
+    void close() {
+        keep = false;
+        current = Optional.empty();
+        context.close();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext reading, Object message) {
+        try {
+            if (message instanceof HttpResponse response) {
+                begin(response);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                add(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext read) {
+        if (!releaseWhenRead) {
+            return;
+        }
+        releaseWhenRead = false;
+        if (keep && context.channel().isActive()) {
+            release();
+        } else {
+            close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        fail(head == null ? FailureStage.AFTER_SENT : FailureStage.ANSWER_CUT, "the connection failed: " + cause);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        pool.closed(this, inactive.channel());
+        fail(
+                head == null ? FailureStage.AFTER_SENT : FailureStage.ANSWER_CUT,
+                head == null ? "the connection was closed without an answer" : "the answer broke off");
+    }
+
+    private void begin(HttpResponse response) {
+        if (current.isEmpty()) {
+            close();
+            return;
+        }
+        if (response.decoderResult().isFailure()) {
+            fail(
+                    FailureStage.ANSWER_CUT,
+                    "not an HTTP answer: " + response.decoderResult().cause());
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        head = response;
+        own = current.get().request().belongs().test(reply(new byte[0]));
+        keep = keep && own && HttpUtil.isKeepAlive(response);
+        body = new ByteArrayOutputStream();
+        idleLimit = idleLimit(response);
+    }
+
+    private void add(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            fail(
+                    FailureStage.ANSWER_CUT,
+                    "the answer is malformed: " + content.decoderResult().cause());
+            return;
+        }
+        if (own) {
+            ByteBuf bytes = content.content();
+            byte[] copy = new byte[bytes.readableBytes()];
+            bytes.readBytes(copy);
+            body.writeBytes(copy);
+        }
+        if (content instanceof LastHttpContent) {
+            end();
+        }
+    }
+
+    private void end() {
+        if (!own) {
+            // The answer to an earlier request came late; the one to this request is still to come.
+            head = null;
+            return;
+        }
+        HttpReply reply = reply(body.toByteArray());
+        BackendConnections.Exchange exchange = current.orElseThrow();
+        head = null;
+        body = null;
+        current = Optional.empty();
+        releaseWhenRead = true;
+        exchange.answered(reply);
+    }
+
+    private HttpReply reply(byte[] content) {
+        List<Header> headers = Headers.endToEnd(head.headers());
+        return new HttpReply(head.status().code(), headers, content);
+    }
+
+    private void fail(FailureStage stage, String detail) {
+        Optional<BackendConnections.Exchange> failing = current;
+        close();
+        failing.ifPresent(exchange -> exchange.failed(stage, detail));
+    }
+
+    private static long idleLimit(HttpResponse response) {
+        String stated = response.headers().get("Keep-Alive", "");
+        Matcher matcher = TIMEOUT.matcher(stated);
+        if (!matcher.find()) {
+            return UNSTATED_IDLE;
+        }
+        return (long) (USED_SHARE_OF_IDLE * TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1))));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnections.java
@@ -0,0 +1,207 @@
+package org.plantainshunt.http;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import org.plantainshunt.call.BackendServer.FailureStage;
+
+/**
+ * The connections to the backend server on the node's VM, each with one request at a time.
+ *
+ * <p>A connection is used again only if the last answer ended exactly where it should. The connection that was used
+ * last is taken first, so that few are open. Confined to the event loop.
+ */
+public final class BackendConnections implements AutoCloseable {
+    /** A backend server on the same VM accepts at once or not at all. */
+    private static final int CONNECT_MILLISECONDS = 1_000;
+
+    private static final long SWEEP_MILLISECONDS = 500;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final LongSupplier clock;
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private final Set<Channel> channels = new HashSet<>();
+    private final Future<?> sweep;
+
+    /**
+     * A request and whom its end concerns.
+     *
+     * @param call the request
+     * @param belongs tells by its head whether an answer is the one to this request
+     * @param mayReuse the longest time that the connection may have been idle, in nanoseconds
+     * @param listener takes the end of the request
+     */
+    public record Request(HttpCall call, Predicate<HttpReply> belongs, long mayReuse, Listener listener) {}
+
+    /** Takes the end of a request, once. */
+    public interface Listener {
+        /** Takes a whole answer. */
+        void answered(HttpReply reply);
+
+        /** Takes a failure. */
+        void failed(FailureStage stage, String detail);
+    }
+
+    /** A request that was sent or waits for its connection. */
+    public final class Exchange {
+        private final Request request;
+        private BackendConnection connection;
+        private boolean ended;
+
+        private Exchange(Request request) {
+            this.request = request;
+        }
+
+        Request request() {
+            return request;
+        }
+
+        /** Ends the request with this failure; its connection is closed if it was sent. */
+        public void abort(FailureStage stage, String detail) {
+            if (ended) {
+                return;
+            }
+            if (connection == null) {
+                failed(FailureStage.BEFORE_SENT, detail);
+                return;
+            }
+            BackendConnection used = connection;
+            failed(stage, detail);
+            used.close();
+        }
+
+        void answered(HttpReply reply) {
+            if (!ended) {
+                ended = true;
+                request.listener().answered(reply);
+            }
+        }
+
+        void failed(FailureStage stage, String detail) {
+            if (!ended) {
+                ended = true;
+                request.listener().failed(stage, detail);
+            }
+        }
+    }
+
+    /**
+     * Creates the client without opening a connection.
+     *
+     * @param loop the event loop for all connections, which the caller shuts down
+     * @param address where the backend server listens
+     * @param clock the node's monotonic clock, in nanoseconds
+     */
+    public BackendConnections(EventLoop loop, InetSocketAddress address, LongSupplier clock) {
+        this.loop = loop;
+        this.address = address;
+        this.clock = clock;
+        this.sweep = loop.scheduleWithFixedDelay(
+                this::closeStale, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends a request over a connection that is open, or a new one. */
+    public Exchange send(Request request) {
+        Exchange exchange = new Exchange(request);
+        long now = clock.getAsLong();
+        while (!idle.isEmpty()) {
+            BackendConnection connection = idle.peekFirst();
+            if (!connection.reusable(now)) {
+                idle.removeFirst();
+                connection.close();
+                continue;
+            }
+            if (connection.idleFor(now) > request.mayReuse()) {
+                break;
+            }
+            idle.removeFirst();
+            start(exchange, connection);
+            return exchange;
+        }
+        connect(exchange);
+        return exchange;
+    }
+
+    @Override
+    public void close() {
+        sweep.cancel(false);
+        loop.execute(() -> new ArrayList<>(channels).forEach(Channel::close));
+    }
+
+    /** Takes a connection back whose answer ended as it should. */
+    void released(BackendConnection connection) {
+        idle.addFirst(connection);
+    }
+
+    void closed(BackendConnection connection, Channel channel) {
+        idle.remove(connection);
+        channels.remove(channel);
+    }
+
+    long now() {
+        return clock.getAsLong();
+    }
+
+    private void start(Exchange exchange, BackendConnection connection) {
+        exchange.connection = connection;
+        connection.send(exchange);
+    }
+
+    private void connect(Exchange exchange) {
+        BackendConnection connection = new BackendConnection(this);
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channels.add(channel);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+                    }
+                })
+                .connect(address)
+                .addListener(connected -> {
+                    if (!connected.isSuccess()) {
+                        String reason = "no connection to the backend server: "
+                                + connected.cause().getMessage();
+                        exchange.failed(FailureStage.BEFORE_SENT, reason);
+                    } else if (exchange.ended) {
+                        connection.release();
+                    } else {
+                        start(exchange, connection);
+                    }
+                });
+    }
+
+    private void closeStale() {
+        long now = clock.getAsLong();
+        Iterator<BackendConnection> connections = idle.iterator();
+        while (connections.hasNext()) {
+            BackendConnection connection = connections.next();
+            if (!connection.reusable(now)) {
+                connections.remove();
+                connection.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -0,0 +1,300 @@
+package org.plantainshunt.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.plantainshunt.configuration.RequestLimits;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.Header;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A caller's connection: reads requests, and writes their answers in the order of the requests.
+ *
+ * <p>After an answer that closes the connection nothing further is answered, and the requests behind it are cancelled.
+ * A request that cannot be understood closes the connection, because the bytes after it have no certain meaning.
+ * Confined to the event loop of the connection.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    private static final Logger LOGGER = LoggerFactory.getLogger(ServerConnection.class);
+    /** The requests without an answer from which no more are read; more than any caller sends ahead. */
+    private static final int MOST_PENDING = 64;
+
+    private static final int BAD_REQUEST = 400;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int BODY_TOO_LARGE = 413;
+    private static final int HEADER_TOO_LARGE = 431;
+
+    private final PipelinedServer server;
+    private final RequestLimits limits;
+    private final Deque<Pending> pending = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private ByteArrayOutputStream body;
+    private boolean closing;
+    private boolean bytesOfNextRequest;
+    private long lastActive;
+
+    ServerConnection(PipelinedServer server, RequestLimits limits) {
+        this.server = server;
+        this.limits = limits;
+    }
+
+    /** Returns a handler that notes the first byte of a request, which the codec keeps until its header is whole. */
+    ChannelHandler byteWatch() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext watched, Object message) throws Exception {
+                if (head == null && !bytesOfNextRequest) {
+                    bytesOfNextRequest = true;
+                    lastActive = server.now();
+                }
+                super.channelRead(watched, message);
+            }
+        };
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+        lastActive = server.now();
+        server.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        server.closed(this);
+        cancelPending();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext reading, Object message) {
+        try {
+            if (closing) {
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                add(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        regulateReading();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        LOGGER.debug("caller connection {} failed: {}", failed.channel(), cause.toString());
+        failed.close();
+    }
+
+    /** Closes the connection if the caller is too slow or idle, at a time in nanoseconds. */
+    void check(long now) {
+        if (closing || !pending.isEmpty()) {
+            return;
+        }
+        boolean reading = head != null || bytesOfNextRequest;
+        if (reading && now - lastActive > limits.headerTime().toNanos()) {
+            refuseAndClose(REQUEST_TIMEOUT);
+        } else if (!reading && now - lastActive > limits.idleTime().toNanos()) {
+            context.close();
+        }
+    }
+
+    void closeIfIdle() {
+        if (pending.isEmpty() && head == null) {
+            context.close();
+        }
+    }
+
+    void closeNow() {
+        context.close();
+    }
+
+    private void begin(HttpRequest request) {
+        bytesOfNextRequest = false;
+        lastActive = server.now();
+        Optional<Integer> refused = problem(request);
+        if (refused.isPresent()) {
+            refuseAndClose(refused.get());
+            return;
+        }
+        head = request;
+        body = new ByteArrayOutputStream(0);
+        if (HttpUtil.is100ContinueExpected(request) && pending.isEmpty()) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    /** Returns the status for a request whose end or meaning is not certain, or that is too large. */
+    private Optional<Integer> problem(HttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+            return Optional.of(tooLong ? HEADER_TOO_LARGE : BAD_REQUEST);
+        }
+        boolean sized = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean coded = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        if (sized && coded || coded && !HttpUtil.isTransferEncodingChunked(request)) {
+            return Optional.of(BAD_REQUEST);
+        }
+        if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1
+                || !request.uri().startsWith("/")) {
+            return Optional.of(BAD_REQUEST);
+        }
+        return HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()
+                ? Optional.of(BODY_TOO_LARGE)
+                : Optional.empty();
+    }
+
+    private void add(HttpContent content) {
+        lastActive = server.now();
+        if (content.decoderResult().isFailure()) {
+            refuseAndClose(BAD_REQUEST);
+            return;
+        }
+        ByteBuf bytes = content.content();
+        if (body.size() + bytes.readableBytes() > limits.bodyBytes()) {
+            refuseAndClose(BODY_TOO_LARGE);
+            return;
+        }
+        byte[] copy = new byte[bytes.readableBytes()];
+        bytes.readBytes(copy);
+        body.writeBytes(copy);
+        if (content instanceof LastHttpContent) {
+            dispatch();
+        }
+    }
+
+    private void dispatch() {
+        Pending request = new Pending(HttpUtil.isKeepAlive(head), head.method().equals(HttpMethod.HEAD));
+        List<Header> headers = new ArrayList<>(Headers.endToEnd(head.headers()));
+        HttpCall call = new HttpCall(head.method().name(), head.uri(), headers, body.toByteArray(), server.now());
+        head = null;
+        body = null;
+        pending.add(request);
+        server.requestOpened();
+        regulateReading();
+        request.cancel = server.handler().take(call, reply -> onLoop(() -> answered(request, reply)));
+    }
+
+    private void onLoop(Runnable action) {
+        if (context.channel().eventLoop().inEventLoop()) {
+            action.run();
+        } else {
+            context.channel().eventLoop().execute(action);
+        }
+    }
+
+    private void answered(Pending request, HttpReply reply) {
+        request.reply = Optional.of(reply);
+        writeInOrder();
+    }
+
+    private void writeInOrder() {
+        boolean wrote = false;
+        while (!closing && !pending.isEmpty() && pending.peekFirst().reply.isPresent()) {
+            Pending request = pending.removeFirst();
+            server.requestEnded();
+            lastActive = server.now();
+            boolean last = !request.keepAlive || server.leaving();
+            write(request, last);
+            wrote = true;
+            if (last) {
+                closing = true;
+                cancelPending();
+            }
+        }
+        if (wrote) {
+            context.flush();
+            regulateReading();
+        }
+    }
+
+    private void write(Pending request, boolean last) {
+        HttpReply reply = request.reply.orElseThrow();
+        ByteBuf content = request.headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(reply.body());
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), content);
+        reply.headers().forEach(header -> response.headers().add(header.name(), header.value()));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+        if (last) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.write(response).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            context.write(response);
+        }
+    }
+
+    /** Answers after the requests before it, and then closes. */
+    private void refuseAndClose(int status) {
+        head = null;
+        body = null;
+        bytesOfNextRequest = false;
+        Pending request = new Pending(false, false);
+        pending.add(request);
+        server.requestOpened();
+        byte[] text = HttpResponseStatus.valueOf(status).reasonPhrase().getBytes(StandardCharsets.US_ASCII);
+        answered(request, new HttpReply(status, List.of(), text));
+    }
+
+    private void cancelPending() {
+        for (Pending request : pending) {
+            server.requestEnded();
+            if (request.reply.isEmpty()) {
+                request.cancel.cancel();
+            }
+        }
+        pending.clear();
+    }
+
+    /** Stops reading while the caller reads too slowly or has too many requests open. */
+    private void regulateReading() {
+        boolean read = context.channel().isWritable() && pending.size() < MOST_PENDING;
+        context.channel().config().setAutoRead(read);
+    }
+
+    /** A request without a written answer. */
+    private static final class Pending {
+        private final boolean keepAlive;
+        private final boolean headOnly;
+        private Optional<HttpReply> reply = Optional.empty();
+        private CancelHandle cancel = () -> {};
+
+        Pending(boolean keepAlive, boolean headOnly) {
+            this.keepAlive = keepAlive;
+            this.headOnly = headOnly;
+        }
+    }
+}
--- a/node/src/main/java/org/plantainshunt/node/JavaLogging.java
+++ b/node/src/main/java/org/plantainshunt/node/JavaLogging.java
@@ -9,11 +9,11 @@
 import org.slf4j.LoggerFactory;
 
 /** Brings what libraries log with the JDK's logging to the node's own log, which is JSON lines only. Without state. */
-final class JavaLogging extends Handler {
+public final class JavaLogging extends Handler {
     private JavaLogging() {}
 
     /** Replaces the JDK's handlers, which write plain text to standard error. */
-    static void toLog() {
+    public static void toLog() {
         LogManager.getLogManager().reset();
         java.util.logging.Logger.getLogger("").addHandler(new JavaLogging());
     }
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -19,16 +19,13 @@
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.control.DocumentFormats;
 import org.plantainshunt.control.FleetControl;
 import org.plantainshunt.control.HealthWatch;
-import org.plantainshunt.duty.Duty;
+import org.plantainshunt.control.Platform;
+import org.plantainshunt.duty.Worker;
 import org.plantainshunt.http.AdminServer;
-import org.plantainshunt.http.CallerServer;
-import org.plantainshunt.http.HealthReader;
-import org.plantainshunt.http.HttpChannels;
 import org.plantainshunt.http.MetricsReport;
-import org.plantainshunt.http.RatpackBackendServer;
-import org.plantainshunt.http.RatpackPlatform;
 import org.plantainshunt.protocol.Announcement;
 import org.plantainshunt.protocol.CancelHandle;
 import org.plantainshunt.protocol.DocumentMessage;
@@ -42,8 +39,6 @@
 import org.plantainshunt.telemetry.TraceFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import ratpack.exec.ExecController;
-import ratpack.server.RatpackServer;
 
 /**
  * A running node: the duties, servers and clients of one process.
@@ -53,20 +48,12 @@
  */
 public final class Node implements AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
-    private static final int HTTP_THREADS = 2;
     private static final int INNER_THREADS = 2;
     private static final int CONTROL_RING_SIZE = 1024;
     private static final Duration CONTROL_TICK = Duration.ofMillis(100);
     private static final long HEALTH_EVERY = TimeUnit.MILLISECONDS.toNanos(500);
-    private static final long LONGEST_STOP = TimeUnit.SECONDS.toNanos(35);
-    private static final long NEWS_TRAVEL_TIME = TimeUnit.MILLISECONDS.toNanos(500);
-    /** Callers may still write requests on connections that were accepted last; these are answered in this time. */
-    private static final long LAST_REQUESTS_TIME = TimeUnit.SECONDS.toNanos(1);
-
     private static final long STOP_CHECK_MILLISECONDS = 20;
-    private static final int BACKEND_CONNECTIONS = 512;
     private static final int LARGEST_BODY_BYTES = 16 * 1024 * 1024;
-    private static final long DEFAULT_BODY_BYTES = 1024 * 1024;
 
     private final NodeSettings settings;
     private final long incarnation;
@@ -74,18 +61,19 @@
     private final Telemetry telemetry;
     private final HopTracer tracer;
     private final AdminServer admin;
-    private final CallerServer callers;
-    private final CallerServer outbound;
-    private final RatpackBackendServer backendServer;
-    private final RatpackPlatform platform;
-    private final HealthReader healthReader;
+    private final CallerEdge callers;
+    private final NodeParts.LocalBackendServer backendServer;
+    private final NodeParts.StopTimes stopTimes;
+    private final Platform platform;
+    private final Optional<NodeParts.HealthSource> healthSource;
     private final Decisions decisions;
     private final FleetControl control;
-    private final Duty controlDuty;
+    private final Worker controlDuty;
     private final InnerEndpoint inner;
     private final HealthWatch health = new HealthWatch();
     private long nextHealth;
     private boolean healthAsked;
+    private volatile Optional<Document> documentInForce = Optional.empty();
     private volatile boolean leaving;
     private volatile boolean stopping;
     private volatile String backendServerHealth = "unknown";
@@ -96,7 +84,16 @@
      * @throws Exception if an address cannot be bound or a file cannot be written
      */
     public Node(NodeSettings settings) throws Exception {
-        HttpChannels.enable();
+        this(settings, new RatpackParts(settings));
+    }
+
+    /**
+     * Starts a node whose surroundings speak other interfaces.
+     *
+     * @param parts creates what speaks them
+     * @throws Exception if an address cannot be bound or a file cannot be written
+     */
+    public Node(NodeSettings settings, NodeParts parts) throws Exception {
         this.settings = settings;
         RandomGenerator random = new SecureRandom();
         incarnation = random.nextLong(1, Long.MAX_VALUE);
@@ -106,30 +103,33 @@
                 : HopTracer.off();
         StatusReport status = new StatusReport(this);
         admin = new AdminServer(settings.adminAddress(), status::describe, new MetricsReport(metrics), this::ready);
-        ExecController adminExecutions = executions(admin.server());
-        platform = new RatpackPlatform(settings.platform(), adminExecutions);
-        healthReader = new HealthReader(settings.backendServer(), adminExecutions);
+        Worker.Factory workers = parts.workers();
+        DocumentFormats formats = parts.formats();
+        platform = parts.platform(admin);
+        healthSource = parts.health(admin);
         control = new FleetControl(
-                settings.name(), settings.seeds(), platform, new NodePeers(), new InForce(), System::nanoTime, random);
-        inner = new InnerEndpoint(
-                new InnerSettings(
-                        settings.name(),
-                        incarnation,
-                        settings.sharedSecret(),
-                        LARGEST_BODY_BYTES,
-                        INNER_THREADS,
-                        () -> leaving,
-                        control::documentNumber),
-                new InnerCalls(this),
-                new InnerPeers());
-        outbound = callerServer(settings.outboundAddress(), 1, true);
-        callers = callerServer(settings.callerAddress(), HTTP_THREADS, false);
-        backendServer = new RatpackBackendServer(
-                settings.backendServer(),
-                executions(callers.server()),
-                BACKEND_CONNECTIONS,
-                this::largestAnswer,
-                System::nanoTime);
+                settings.name(),
+                settings.seeds(),
+                platform,
+                new NodePeers(),
+                new InForce(),
+                System::nanoTime,
+                random,
+                formats);
+        InnerSettings innerSettings = new InnerSettings(
+                settings.name(),
+                incarnation,
+                settings.sharedSecret(),
+                LARGEST_BODY_BYTES,
+                INNER_THREADS,
+                () -> leaving,
+                control::documentNumber);
+        inner = parts.inner(innerSettings, new InnerCalls(this), new InnerPeers());
+        CallerEdge.Context context = new CallerEdge.Context(
+                this::take, () -> documentInForce, this::ready, telemetry::refusedUnread, System::nanoTime);
+        callers = parts.callers(context);
+        backendServer = parts.backendServer(context);
+        stopTimes = parts.stopTimes();
         decisions = new Decisions(
                 new Decisions.Identity(settings.name(), settings.service(), settings.dataCentre(), incarnation),
                 backendServer,
@@ -137,11 +137,12 @@
                 System::nanoTime,
                 random,
                 telemetry,
-                tracer);
+                tracer,
+                workers);
         inner.listen(
                 settings.innerAddress().getAddress().getHostAddress(),
                 settings.innerAddress().getPort());
-        controlDuty = new Duty("control", CONTROL_RING_SIZE, CONTROL_TICK, this::tickControl);
+        controlDuty = workers.start("control", CONTROL_RING_SIZE, CONTROL_TICK, this::tickControl);
         control.runOn(controlDuty);
         registerGauges();
         LOGGER.info("node {} of service {} started, incarnation {}", settings.name(), settings.service(), incarnation);
@@ -208,16 +209,17 @@
 
     private void awaitIdle() {
         long start = System.nanoTime();
-        while (System.nanoTime() - start < LONGEST_STOP) {
+        while (System.nanoTime() - start < stopTimes.longest().toNanos()) {
             long elapsed = System.nanoTime() - start;
-            if (elapsed > NEWS_TRAVEL_TIME) {
+            if (elapsed > stopTimes.listening().toNanos()) {
                 callers.stopListening();
             }
-            boolean quiet = elapsed > NEWS_TRAVEL_TIME + LAST_REQUESTS_TIME;
+            boolean quiet = elapsed
+                    > stopTimes.listening().plus(stopTimes.lastRequests()).toNanos();
             Snapshot now = decisions.snapshot();
             boolean fresh = now.takenAt() - start > 0;
             boolean idle = now.served() == 0 && now.entered() == 0;
-            if (quiet && fresh && idle && callers.openRequests() == 0 && outbound.openRequests() == 0) {
+            if (quiet && fresh && idle && callers.openRequests() == 0) {
                 return;
             }
             try {
@@ -232,11 +234,10 @@
 
     private void closeParts() {
         closeQuietly(callers);
-        closeQuietly(outbound);
-        closeQuietly(inner);
         closeQuietly(controlDuty);
         closeQuietly(decisions);
         closeQuietly(backendServer);
+        closeQuietly(inner);
         closeQuietly(platform);
         closeQuietly(admin);
         closeQuietly(telemetry);
@@ -253,43 +254,12 @@
         }
     }
 
-    private static ExecController executions(RatpackServer server) {
-        return server.getRegistry().orElseThrow().get(ExecController.class);
-    }
-
-    private CallerServer callerServer(InetSocketAddress address, int threads, boolean fromBackendServer)
-            throws Exception {
-        return new CallerServer(
-                address,
-                threads,
-                settings.name(),
-                fromBackendServer,
-                this::take,
-                this::largestBody,
-                System::nanoTime,
-                telemetry::refusedUnread);
-    }
-
     /** Takes a call; refuses it while the parts of the node are still being created. */
     private boolean take(InboundCall call, ReplyListener reply, Consumer<CancelHandle> cancellation) {
         Decisions created = decisions;
         return created != null && created.call(call, reply, cancellation);
     }
 
-    private long largestBody() {
-        return control.configuration()
-                .current()
-                .map(document -> document.policy().largestBody())
-                .orElse(DEFAULT_BODY_BYTES);
-    }
-
-    private long largestAnswer() {
-        return control.configuration()
-                .current()
-                .map(document -> document.policy().largestAnswer())
-                .orElse(DEFAULT_BODY_BYTES);
-    }
-
     private void leave(boolean now) {
         if (leaving == now) {
             return;
@@ -307,10 +277,10 @@
         }
         control.tick();
         long now = System.nanoTime();
-        if (now >= nextHealth && !healthAsked) {
+        if (healthSource.isPresent() && now >= nextHealth && !healthAsked) {
             nextHealth = now + HEALTH_EVERY;
             healthAsked = true;
-            healthReader.read(answer -> controlDuty.submit(() -> takeHealth(answer)));
+            healthSource.get().read(answer -> controlDuty.submit(() -> takeHealth(answer)));
         }
     }
 
@@ -330,7 +300,7 @@
         gauge("serving.limit", () -> snapshot().limit());
         gauge("serving.level", () -> snapshot().level());
         gauge("serving.tickets", () -> snapshot().tickets());
-        gauge("callers.open", () -> callers.openRequests() + outbound.openRequests());
+        gauge("callers.open", callers::openRequests);
         gauge("entry.open", () -> snapshot().entered());
         gauge("decisions.ring-fill", () -> decisions.fill());
         gauge("telemetry.ring-fill", telemetry::fill);
@@ -351,6 +321,7 @@
     private final class InForce implements FleetControl.Listener {
         @Override
         public void configuration(Document document) {
+            documentInForce = Optional.of(document);
             decisions.configure(document);
         }
 
--- a/node/src/main/java/org/plantainshunt/node/NodeSettings.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeSettings.java
@@ -83,6 +83,16 @@
      * @throws InvalidSettingsException if the file cannot be read, or a value is missing, unknown or malformed
      */
     public static NodeSettings read(Path file) throws InvalidSettingsException {
+        return read(file, Set.of());
+    }
+
+    /**
+     * Reads a settings file in which an adapter has sections of its own.
+     *
+     * @param adapterSections the sections that the adapter reads and checks
+     * @throws InvalidSettingsException if the file cannot be read, or a value is missing, unknown or malformed
+     */
+    public static NodeSettings read(Path file, Set<String> adapterSections) throws InvalidSettingsException {
         INIConfiguration ini = new INIConfiguration();
         try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
             ini.read(reader);
@@ -93,7 +103,7 @@
         } catch (IOException | ConfigurationException e) {
             throw new InvalidSettingsException("cannot read " + file + ": " + e, e);
         }
-        checkKeys(ini);
+        checkKeys(ini, adapterSections);
         String secret = required(ini, "security", "shared-secret");
         if (secret.length() < SHORTEST_SECRET_CHARACTERS) {
             throw new InvalidSettingsException(
@@ -115,11 +125,14 @@
                 file(ini, "decisions"));
     }
 
-    private static void checkKeys(INIConfiguration ini) throws InvalidSettingsException {
+    private static void checkKeys(INIConfiguration ini, Set<String> adapterSections) throws InvalidSettingsException {
         for (String section : ini.getSections()) {
             if (section == null) {
                 throw new InvalidSettingsException("a key stands before the first section");
             }
+            if (adapterSections.contains(section)) {
+                continue;
+            }
             if (!KNOWN_KEYS.containsKey(section)) {
                 throw new InvalidSettingsException("unknown section [" + section + "]");
             }
@@ -151,7 +164,14 @@
         return address(required(ini, section, key), "[" + section + "] " + key);
     }
 
-    private static InetSocketAddress address(String text, String place) throws InvalidSettingsException {
+    /**
+     * Reads an address.
+     *
+     * @param text an IP number and a port, joined by a colon
+     * @param place where the text stands, for the message
+     * @throws InvalidSettingsException if the text is no address
+     */
+    public static InetSocketAddress address(String text, String place) throws InvalidSettingsException {
         try {
             HostAndPort parsed = HostAndPort.fromString(text);
             // Names are not looked up: a process learns IP numbers from its settings.
--- /dev/null
+++ b/node/src/main/java/org/plantainshunt/node/RatpackParts.java
@@ -0,0 +1,163 @@
+package org.plantainshunt.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+
+import org.plantainshunt.call.BackendServer;
+import org.plantainshunt.configuration.Policy;
+import org.plantainshunt.control.DocumentFormats;
+import org.plantainshunt.control.Platform;
+import org.plantainshunt.duty.Duty;
+import org.plantainshunt.duty.Worker;
+import org.plantainshunt.http.AdminServer;
+import org.plantainshunt.http.CallerServer;
+import org.plantainshunt.http.HealthReader;
+import org.plantainshunt.http.HttpChannels;
+import org.plantainshunt.http.RatpackBackendServer;
+import org.plantainshunt.http.RatpackPlatform;
+import org.plantainshunt.protocol.CallHandler;
+import org.plantainshunt.protocol.InnerEndpoint;
+import org.plantainshunt.protocol.InnerSettings;
+import org.plantainshunt.protocol.PeerHandler;
+import ratpack.exec.ExecController;
+import ratpack.server.RatpackServer;
+
+/** The parts that speak the interfaces of docs/interfaces.md, on Ratpack. Used by one node. */
+final class RatpackParts implements NodeParts {
+    private static final int HTTP_THREADS = 2;
+    private static final int BACKEND_CONNECTIONS = 512;
+    private static final long DEFAULT_BODY_BYTES = 1024 * 1024;
+    /** News of a stop reaches all callers and nodes in this time. */
+    private static final Duration NEWS_TRAVEL_TIME = Duration.ofMillis(500);
+    /** Callers may still write requests on connections that were accepted last; these are answered in this time. */
+    private static final Duration LAST_REQUESTS_TIME = Duration.ofSeconds(1);
+
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(35);
+
+    private final NodeSettings settings;
+    private RatpackServer callerServer;
+
+    RatpackParts(NodeSettings settings) {
+        HttpChannels.enable();
+        this.settings = settings;
+    }
+
+    @Override
+    public Worker.Factory workers() {
+        return Duty::new;
+    }
+
+    @Override
+    public DocumentFormats formats() {
+        return DocumentFormats.INI;
+    }
+
+    @Override
+    public Platform platform(AdminServer admin) throws IOException {
+        return new RatpackPlatform(settings.platform(), executions(admin.server()));
+    }
+
+    @Override
+    public Optional<HealthSource> health(AdminServer admin) throws IOException {
+        return Optional.of(new HealthReader(settings.backendServer(), executions(admin.server()))::read);
+    }
+
+    @Override
+    public InnerEndpoint inner(InnerSettings inner, CallHandler calls, PeerHandler peers) {
+        return new InnerEndpoint(inner, calls, peers);
+    }
+
+    @Override
+    public CallerEdge callers(CallerEdge.Context context) throws Exception {
+        CallerServer outbound = callerServer(context, settings.outboundAddress(), 1, true);
+        CallerServer callers = callerServer(context, settings.callerAddress(), HTTP_THREADS, false);
+        callerServer = callers.server();
+        return new Servers(outbound, callers);
+    }
+
+    @Override
+    public LocalBackendServer backendServer(CallerEdge.Context context) throws Exception {
+        RatpackBackendServer client = new RatpackBackendServer(
+                settings.backendServer(),
+                executions(callerServer),
+                BACKEND_CONNECTIONS,
+                () -> limit(context, Policy::largestAnswer),
+                context.clock());
+        return new Client(client);
+    }
+
+    @Override
+    public StopTimes stopTimes() {
+        return new StopTimes(NEWS_TRAVEL_TIME, LAST_REQUESTS_TIME, LONGEST_STOP);
+    }
+
+    private CallerServer callerServer(
+            CallerEdge.Context context, InetSocketAddress address, int threads, boolean fromBackendServer)
+            throws Exception {
+        return new CallerServer(
+                address,
+                threads,
+                settings.name(),
+                fromBackendServer,
+                context.calls(),
+                () -> limit(context, Policy::largestBody),
+                context.clock(),
+                context.refusedUnread()::accept);
+    }
+
+    private static long limit(CallerEdge.Context context, ToLongFunction<Policy> limit) {
+        return context.inForce()
+                .get()
+                .map(document -> limit.applyAsLong(document.policy()))
+                .orElse(DEFAULT_BODY_BYTES);
+    }
+
+    private static ExecController executions(RatpackServer server) {
+        return server.getRegistry().orElseThrow().get(ExecController.class);
+    }
+
+    /** The servers for outside callers and for the backend server's own calls. */
+    private record Servers(CallerServer outbound, CallerServer callers) implements CallerEdge {
+        @Override
+        public int openRequests() {
+            return callers.openRequests() + outbound.openRequests();
+        }
+
+        @Override
+        public void leave() {
+            callers.leave();
+        }
+
+        @Override
+        public void stopListening() {
+            callers.stopListening();
+        }
+
+        @Override
+        public void close() throws IOException {
+            callers.close();
+            outbound.close();
+        }
+    }
+
+    /** Passes requests on to the client. */
+    private record Client(RatpackBackendServer client) implements LocalBackendServer {
+        @Override
+        public void send(BackendServer.Handover request, BackendServer.Listener listener) {
+            client.send(request, listener);
+        }
+
+        @Override
+        public void cancel(String callId) {
+            client.cancel(callId);
+        }
+
+        @Override
+        public void close() throws IOException {
+            client.close();
+        }
+    }
+}
--- a/node/src/main/java/org/plantainshunt/node/WarmUp.java
+++ b/node/src/main/java/org/plantainshunt/node/WarmUp.java
@@ -21,6 +21,7 @@
 import org.plantainshunt.configuration.InvalidDocumentException;
 import org.plantainshunt.configuration.InvalidVmListException;
 import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.duty.Duty;
 import org.plantainshunt.http.CallerServer;
 import org.plantainshunt.http.HttpChannels;
 import org.plantainshunt.http.RatpackBackendServer;
@@ -181,7 +182,8 @@
                     System::nanoTime,
                     random,
                     telemetry,
-                    HopTracer.off()));
+                    HopTracer.off(),
+                    Duty::new));
             deferred.target = Optional.of(decisions);
         }
     }
--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -66,8 +66,18 @@
 
     /** Creates an endpoint that neither listens nor is connected. */
     public InnerEndpoint(InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler) {
+        this(
+                settings,
+                callHandler,
+                peerHandler,
+                new NioEventLoopGroup(settings.eventLoopThreads(), new DefaultThreadFactory("inner", true)));
+    }
+
+    /** Creates an endpoint on these event loops, which {@link #close} shuts down. */
+    public InnerEndpoint(
+            InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler, EventLoopGroup eventLoops) {
         context = new EndpointContext(settings, callHandler, peerHandler);
-        eventLoops = new NioEventLoopGroup(settings.eventLoopThreads(), new DefaultThreadFactory("inner", true));
+        this.eventLoops = eventLoops;
     }
 
     /**
