--- a/core/src/test/java/org/plantainshunt/configuration/VmListTest.java
+++ b/core/src/test/java/org/plantainshunt/configuration/VmListTest.java
@@ -1,6 +1,8 @@
 package org.plantainshunt.configuration;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +15,25 @@
     private static final String VM =
             "[vm a-1]\nservice=a\ndata-centre=erie-1\naddress=10.0.0.1\ninner-port=7001\nstate=live\n";
 
+    /** Guards against a list that changes on its way between nodes. */
+    @Test
+    void textReadsBackAsTheSameList() throws Exception {
+        VmList list = new VmList(
+                9,
+                List.of(
+                        new Vm(
+                                "10.0.0.1",
+                                "a",
+                                "erie-1",
+                                "10.0.0.1",
+                                7001,
+                                false,
+                                OptionalInt.of(8),
+                                Optional.of("i-1")),
+                        new Vm("b-1", "b", "erie-1", "10.0.0.2", 7001, true)));
+        assertEquals(list, VmList.parse(list.text()));
+    }
+
     @Test
     void readsRevisionAndVms() throws InvalidVmListException {
         VmList list = VmList.parse("[vm-list]\nrevision = 7\n" + VM);
--- /dev/null
+++ b/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
@@ -0,0 +1,87 @@
+package org.plantainshunt.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.configuration.Vm;
+import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.membership.VmRegistry.Registration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class VmRegistryTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long START = 100 * SECOND;
+
+    private final VmRegistry registry = new VmRegistry();
+
+    @Test
+    void removalCountsAtOnceWhileTheStoreAnswers() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.removed("a", 11, START);
+        assertEquals(List.of("b"), instances());
+    }
+
+    /** Guards against dropping backend servers whose registrations lapsed while the store was away. */
+    @Test
+    void registrationMissingAfterAnOutageMayReturn() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.interrupted();
+        registry.restored(START + SECOND);
+        registry.replace(Map.of("b", at("10.0.0.2", "b", 1)), 14, START + SECOND);
+        assertEquals(List.of("a", "b"), instances());
+        registry.put("a", at("10.0.0.1", "a", 1), 15);
+        registry.expire(START + 10 * SECOND);
+        assertEquals(List.of("a", "b"), instances());
+    }
+
+    /** Guards against keeping a backend server that died during the outage. */
+    @Test
+    void registrationThatDoesNotReturnIsGone() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1)), 10, START);
+        registry.interrupted();
+        registry.restored(START + SECOND);
+        registry.replace(Map.of(), 14, START + SECOND);
+        long expiry = registry.nextExpiry().orElseThrow();
+        assertEquals(START + SECOND + VmRegistry.RETURN_TIME, expiry);
+        registry.expire(expiry - 1);
+        assertEquals(List.of("a"), instances());
+        assertTrue(registry.expire(expiry));
+        assertEquals(List.of(), instances());
+    }
+
+    /** Guards against a list that peers ignore because the store's revision did not change when the time was over. */
+    @Test
+    void listWithoutKeptRegistrationsIsNewerThanOneWithThem() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1)), 10, START);
+        registry.interrupted();
+        registry.restored(START);
+        registry.replace(Map.of(), 14, START);
+        VmList kept = registry.list();
+        registry.expire(START + VmRegistry.RETURN_TIME);
+        assertTrue(registry.list().compareTo(kept) > 0);
+    }
+
+    /** Guards against sending to a former backend server whose registration outlives it. */
+    @Test
+    void youngestOfAnAddressCounts() {
+        registry.replace(Map.of("old", at("10.0.0.1", "old", 5), "a-new", at("10.0.0.1", "a-new", 6)), 10, START);
+        assertEquals(List.of("a-new"), instances());
+    }
+
+    private List<String> instances() {
+        return registry.list().vms().stream()
+                .map(vm -> vm.instance().orElseThrow())
+                .toList();
+    }
+
+    private static Registration at(String address, String instance, long startedAt) {
+        Vm vm = new Vm(address, "s", "d", address, 7000, false, OptionalInt.of(4), Optional.of(instance));
+        return new Registration(vm, startedAt);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
@@ -0,0 +1,196 @@
+package org.plantainshunt.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.configuration.RequestLimits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class PipelinedServerTest {
+    private static final int TIMEOUT_SECONDS = 10;
+    private static final RequestLimits LIMITS =
+            new RequestLimits(1_000, 100, Duration.ofMillis(600), Duration.ofSeconds(60));
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final BlockingQueue<Taken> taken = new LinkedBlockingQueue<>();
+    private PipelinedServer server;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new PipelinedServer(
+                loops.next(),
+                new InetSocketAddress("127.0.0.1", 0),
+                (call, reply) -> {
+                    Taken request = new Taken(call, reply, new CountDownLatch(1));
+                    taken.add(request);
+                    return request.cancelled()::countDown;
+                },
+                () -> LIMITS,
+                System::nanoTime);
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Guards against a slow request that holds up the start of those behind it, and against answers out of order. */
+    @Test
+    void requestsRunAtOnceAndAnswersKeepTheirOrder() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, get("/one") + get("/two"));
+            Taken one = next();
+            Taken two = next();
+            two.reply().accept(text("second"));
+            one.reply().accept(text("first"));
+            String answers = readUntil(caller, "second");
+            assertTrue(answers.indexOf("first") < answers.indexOf("second"), answers);
+        }
+    }
+
+    /** Guards against work that goes on for a caller that has left. */
+    @Test
+    void callersCloseCancelsItsRunningRequests() throws Exception {
+        Taken request;
+        try (Socket caller = connect()) {
+            send(caller, get("/long"));
+            request = next();
+        }
+        assertTrue(request.cancelled().await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "not cancelled");
+    }
+
+    /** Guards against a second request hidden behind two lengths of one body. */
+    @Test
+    void requestWithTwoFramingsIsRefused() throws Exception {
+        assertRefused(
+                "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400);
+    }
+
+    @Test
+    void requestWithoutHostIsRefused() throws Exception {
+        assertRefused("GET /a HTTP/1.1\r\n\r\n", 400);
+    }
+
+    @Test
+    void headerOverTheLimitIsRefused() throws Exception {
+        assertRefused("GET /a HTTP/1.1\r\nHost: h\r\nX: " + "x".repeat(2_000) + "\r\n\r\n", 431);
+    }
+
+    /** Guards against bodies that are held before their length is checked, in either framing. */
+    @Test
+    void bodyOverTheLimitIsRefused() throws Exception {
+        assertRefused("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", 413);
+        assertRefused(
+                "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + "x".repeat(101) + "\r\n",
+                413);
+    }
+
+    /** Guards against callers that begin a request and never end its header. */
+    @Test
+    void slowHeaderIsRefused() throws Exception {
+        assertRefused("GET /a HTTP/1.1\r\nHo", 408);
+    }
+
+    /** Guards against chunks that are passed on with their framing. */
+    @Test
+    void chunkedBodyArrivesWhole() throws Exception {
+        try (Socket caller = connect()) {
+            send(
+                    caller,
+                    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+            Taken request = next();
+            assertEquals("abcde", new String(request.call().body(), StandardCharsets.US_ASCII));
+            assertFalse(request.call().header("Transfer-Encoding").isPresent());
+        }
+    }
+
+    /** Guards against fields of one connection that reach the next hop. */
+    @Test
+    void fieldsNamedByConnectionAreDropped() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n");
+            Taken request = next();
+            assertFalse(request.call().header("x-hop").isPresent());
+            assertEquals("2", request.call().header("x-end").orElseThrow());
+        }
+    }
+
+    /** Guards against callers that keep using a node which is about to stop. */
+    @Test
+    void leavingServerClosesAfterTheAnswer() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, get("/a"));
+            server.leave();
+            next().reply().accept(text("last"));
+            String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(
+                    answer.contains("last") && answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
+        }
+    }
+
+    private void assertRefused(String request, int status) throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, request);
+            String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", server.address().getPort());
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        return socket;
+    }
+
+    private static void send(Socket caller, String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String readUntil(Socket caller, String end) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(end) < 0) {
+            int next = caller.getInputStream().read();
+            if (next < 0) {
+                break;
+            }
+            read.append((char) next);
+        }
+        return read.toString();
+    }
+
+    private Taken next() throws InterruptedException {
+        Taken next = taken.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("no request arrived");
+        }
+        return next;
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    private static HttpReply text(String body) {
+        return new HttpReply(200, List.of(), body.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private record Taken(HttpCall call, Consumer<HttpReply> reply, CountDownLatch cancelled) {}
+}
