--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -37,6 +37,12 @@
      */
     private static final int MOST_SLOW_DIVISOR = 3;
 
+    /**
+     * The whole calls, as a share of the slots, by which a server in another data centre must be less loaded: traffic between
+     * data centres is billed. Under load the difference no longer matters.
+     */
+    private static final double DETOUR_SHARE = 0.05;
+
     private final RandomGenerator random;
     private final Map<String, Spill> spills = new HashMap<>();
 
@@ -197,7 +203,7 @@
     }
 
     /**
-     * Returns the load weighted with the network time and the usual latency of the service.
+     * Returns the load, and the price of a detour, weighted with the network time and the usual latency of the service.
      *
      * <p>The server's own latency is left out: it follows the load late, so that a few nodes that compare by it send
      * all calls to one server after the other. A ramping server counts as loaded by the inverse of its share,
@@ -207,6 +213,7 @@
     private double cost(Upstream upstream, long usual, long now) {
         double share = upstream.ramp().share(now);
         double scale = share >= 1 || random.nextDouble() < share ? 1 : share;
-        return (1 + upstream.load(now)) / scale * (upstream.distance().roundTrip() + usual);
+        double detour = upstream.distance() == Distance.SAME_DATA_CENTRE ? 0 : (int) (DETOUR_SHARE * upstream.slots());
+        return (1 + upstream.load(now) + detour) / scale * (upstream.distance().roundTrip() + usual);
     }
 }
--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -40,6 +40,8 @@
     private static final long FIRST_WATCH_WITHIN = TimeUnit.MILLISECONDS.toNanos(300);
     /** The pause after a failed watch; half of it is random, so that nodes don't return together. */
     private static final long WATCH_PAUSE = TimeUnit.MILLISECONDS.toNanos(500);
+    /** The pause after a change; changes come in groups, and each read of the platform has a price. */
+    private static final long GATHER_TIME = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final String ownVm;
     private final Platform platform;
@@ -193,7 +195,14 @@
             int fleetSize = vmList.map(list -> list.vms().size()).orElse(1);
             return state.gossip.nextPoll(fleetSize).toNanos();
         }
-        return answered == Platform.State.FAILED ? WATCH_PAUSE / 2 + random.nextLong(WATCH_PAUSE / 2) : 0;
+        switch (answered) {
+            case FAILED:
+                return WATCH_PAUSE / 2 + random.nextLong(WATCH_PAUSE / 2);
+            case NEW_DOCUMENT:
+                return GATHER_TIME / 2 + random.nextLong(GATHER_TIME / 2);
+            default:
+                return 0;
+        }
     }
 
     private void offer(DocumentKind kind, byte[] bytes, String source) {
--- a/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -38,6 +38,7 @@
     private final IncomingCalls incoming;
     private final DocumentTransfer documents;
     private boolean pingSent;
+    private boolean heard;
 
     /**
      * Creates the connection after the handshake.
@@ -119,6 +120,19 @@
         run(writer::finish, () -> {});
     }
 
+    /** Raises the event of a silent peer if nothing has arrived since the last check. */
+    void checkSilence() {
+        run(
+                () -> {
+                    boolean silent = !heard;
+                    heard = false;
+                    if (silent) {
+                        channel.pipeline().fireUserEventTriggered(IdleStateEvent.READER_IDLE_STATE_EVENT);
+                    }
+                },
+                () -> {});
+    }
+
     boolean isOn(Channel other) {
         return channel == other;
     }
@@ -126,6 +140,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext handlerContext, Frame frame) throws ProtocolException {
         pingSent = false;
+        heard = true;
         context.controlTraffic().received(frame);
         switch (frame.getContentCase()) {
             case CALL_START, CHUNK, CALL_END, CANCEL, TICKET_REQUEST -> receiveRequest(frame);
--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -36,8 +36,10 @@
  * }</pre>
  */
 public final class InnerEndpoint implements AutoCloseable {
-    /** Time for a handshake, and before it for the TCP connection, in seconds. */
+    /** Time for a handshake, in seconds; a peer that has just started is slow. */
     static final int HANDSHAKE_SECONDS = 3;
+    /** Time for the TCP connection, in seconds: the kernel of a VM that can be reached accepts it at once. */
+    private static final int CONNECT_SECONDS = 1;
 
     /** Pending connections that the kernel accepts by itself; enough for a fleet that reconnects at once. */
     private static final int ACCEPT_BACKLOG = 1_024;
@@ -78,6 +80,8 @@
             InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler, EventLoopGroup eventLoops) {
         context = new EndpointContext(settings, callHandler, peerHandler);
         this.eventLoops = eventLoops;
+        long silence = settings.silence().toNanos();
+        eventLoops.next().scheduleWithFixedDelay(context.peers()::checkSilence, silence, silence, TimeUnit.NANOSECONDS);
     }
 
     /**
@@ -136,7 +140,7 @@
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.SECONDS.toMillis(HANDSHAKE_SECONDS))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.SECONDS.toMillis(CONNECT_SECONDS))
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
--- a/protocol/src/main/java/org/plantainshunt/protocol/Peers.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Peers.java
@@ -54,6 +54,11 @@
         connections.forEach(Connection::closeWhenSent);
     }
 
+    /** Looks for silent peers; one task for all connections, because a timer for each wakes the process too often. */
+    synchronized void checkSilence() {
+        connections.forEach(Connection::checkSilence);
+    }
+
     /** Returns whether a channel has passed its handshake and is open. */
     synchronized boolean areOn(Channel channel) {
         return connections.stream().anyMatch(connection -> connection.isOn(channel));
