--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 
 import org.plantainshunt.admission.AdmissionQueue;
+import org.plantainshunt.admission.FailureShedding;
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Service;
 import org.plantainshunt.configuration.Vm;
@@ -78,7 +79,14 @@
         tickets = new TicketTable(identity.vm(), identity.incarnation(), TICKETS, NoPolicy.POLICY, random);
         serving = new ServingSide(identity, backendServer, environment, tickets, this::deeperLevels);
         entry = new EntrySide(
-                identity.vm(), serving, environment, membership, connections, new BackendServerChoice(random), links);
+                identity.vm(),
+                serving,
+                environment,
+                membership,
+                connections,
+                new BackendServerChoice(random),
+                links,
+                new FailureShedding(random));
     }
 
     /** Puts a configuration in force. */
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.plantainshunt.admission.FailureShedding;
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.Kind;
 import org.plantainshunt.configuration.Vm;
@@ -45,6 +46,11 @@
 
     private static final long HEADER_BYTES = 512;
 
+    /** When a request that was shed for the failures of its kind may come back, in milliseconds: the share falls slowly. */
+    private static final long RETRY_AFTER_SHED = 1_000;
+
+    private static final int FIRST_SERVER_ERROR = 500;
+
     /** Refusals for which the ticket table has made the ticket void, so that "not run" holds for good. */
     private static final Set<ResultCode> VOIDING = Set.of(
             ResultCode.OVERLOADED,
@@ -61,6 +67,7 @@
     private final Connections connections;
     private final BackendServerChoice choice;
     private final LinkBudgets links;
+    private final FailureShedding shedding;
     private final Map<Long, EntryCall> calls = new HashMap<>();
     private final CallPreparation preparation;
     private final DownstreamLevels levels = new DownstreamLevels((service, kind) -> kind(service, kind));
@@ -73,7 +80,9 @@
             Membership membership,
             Connections connections,
             BackendServerChoice choice,
-            LinkBudgets links) {
+            LinkBudgets links,
+            FailureShedding shedding) {
+        this.shedding = shedding;
         this.ownVm = ownVm;
         this.serving = serving;
         this.environment = environment;
@@ -137,6 +146,16 @@
             refuse(call, early.get());
             return;
         }
+        if (call.parent.isEmpty() && shedding.refuses(call.kind, environment.now())) {
+            refuse(
+                    call,
+                    new Refusal(
+                            ResultCode.OVERLOADED_DOWNSTREAM,
+                            "requests of this kind fail at their backend servers; refused share "
+                                    + shedding.refusedShare(call.kind),
+                            RETRY_AFTER_SHED));
+            return;
+        }
         dispatch(call, call.allowance.firstAttempt());
     }
 
@@ -255,6 +274,7 @@
         if (!end(attempt, UpstreamEnd.ANSWERED, answer.load(), OptionalInt.of(answer.unusedAllowance()))) {
             return;
         }
+        shedding.ended(call.kind, answer.status() >= FIRST_SERVER_ERROR, environment.now());
         reply(
                 call,
                 new CallReply(
@@ -281,6 +301,9 @@
         if (!end(attempt, end, message.load(), unused)) {
             return;
         }
+        if (refusal.code() == ResultCode.DEADLINE_PASSED_AFTER_HANDOVER) {
+            shedding.ended(call.kind, true, environment.now());
+        }
         if (refusal.code() == ResultCode.DRAINING) {
             Upstream upstream = attempt.upstream;
             membership.draining(upstream.vm().name(), upstream.incarnation(), environment.now());
@@ -369,6 +392,7 @@
             return;
         }
         attempt.cancel();
+        shedding.ended(call.kind, true, environment.now());
         refuse(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no verdict of the serving node in time"));
     }
 
--- a/node/src/test/java/org/plantainshunt/call/FakeVm.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeVm.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
+import org.plantainshunt.admission.FailureShedding;
 import org.plantainshunt.execution.TicketTable;
 import org.plantainshunt.membership.Membership;
 import org.plantainshunt.protocol.InnerConnection;
@@ -63,7 +64,8 @@
                 membership,
                 pool,
                 new BackendServerChoice(fleet.random()),
-                new LinkBudgets("one-1"));
+                new LinkBudgets("one-1"),
+                new FailureShedding(fleet.random()));
         serving.configure(fleet.document);
         entry.configure(fleet.document);
         membership.vmList(fleet.list(), fleet.now());
