--- a/core/src/main/java/org/plantainshunt/membership/Membership.java
+++ b/core/src/main/java/org/plantainshunt/membership/Membership.java
@@ -156,6 +156,11 @@
         return list.vms();
     }
 
+    /** Returns the revision of the list; -1 if there was none. */
+    public long listRevision() {
+        return list.revision();
+    }
+
     /** Returns the number of VMs in the list. */
     public int fleetSize() {
         return list.vms().size();
--- a/node/src/main/java/org/plantainshunt/call/CallRecorder.java
+++ b/node/src/main/java/org/plantainshunt/call/CallRecorder.java
@@ -27,6 +27,19 @@
     /** Takes the end of a call at the serving node; {@code now} is in nanoseconds. */
     void served(CallEntry entry, CallMessage message, ResultCode code, long now);
 
+    /** Takes the decision of an entry node to try a call again; {@code now} is in nanoseconds. */
+    default void retried(InboundCall call, Basis basis, Refusal refusal, long now) {}
+
     /** Takes the reply of an entry node; {@code now} is in nanoseconds. */
-    void replied(InboundCall call, CallReply reply, long now);
+    void replied(InboundCall call, CallReply reply, Basis basis, long now);
+
+    /**
+     * What an entry node's decision rests on.
+     *
+     * @param server the VM that the call was last sent to, empty if it was sent to none
+     * @param documentNumber the version of the configuration in force
+     * @param listRevision the revision of the VM list
+     * @param refusedShare the share of the call's kind that is refused because the kind fails, 0 to 1
+     */
+    record Basis(String server, long documentNumber, long listRevision, double refusedShare) {}
 }
--- a/node/src/main/java/org/plantainshunt/call/EntryCall.java
+++ b/node/src/main/java/org/plantainshunt/call/EntryCall.java
@@ -30,6 +30,9 @@
     boolean mayHaveRun;
     int retries;
     boolean done;
+    /** The VM that the call was last sent to. */
+    String server = "";
+
     EntrySide.Attempt attempt;
     HopTracer.Hop hop;
     Optional<CallContexts.Context> parent = Optional.empty();
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -212,6 +212,7 @@
     private void send(EntryCall call, Upstream upstream, Share share) {
         Attempt attempt = new Attempt(call, upstream, share);
         call.attempt = attempt;
+        call.server = upstream.vm().name();
         upstream.started(attempt.id, environment.now());
         Vm vm = upstream.vm();
         if (CallPreparation.needsTicket(call)) {
@@ -318,6 +319,7 @@
             refuse(call, refusal);
             return;
         }
+        environment.recorder().retried(call.inbound, basis(call), refusal, environment.now());
         call.retries++;
         call.excluded.add(attempt.upstream.vm().name());
         dispatch(call, share.get());
@@ -428,10 +430,18 @@
             call.attempt.finish(UpstreamEnd.CANCELLED, environment.now());
         }
         call.hop.end(call.requestId, reply.code());
-        environment.recorder().replied(call.inbound, reply, environment.now());
+        environment.recorder().replied(call.inbound, reply, basis(call), environment.now());
         call.reply.replied(reply);
     }
 
+    private CallRecorder.Basis basis(EntryCall call) {
+        return new CallRecorder.Basis(
+                call.server,
+                preparation.document().map(known -> known.version().number()).orElse(0L),
+                membership.listRevision(),
+                call.kind == null ? 0 : shedding.refusedShare(call.kind));
+    }
+
     /** One attempt of a call at one backend server. */
     final class Attempt implements AnswerListener {
         private final long id = nextCall++;
--- a/node/src/main/java/org/plantainshunt/http/ServerConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -228,7 +228,8 @@
             Pending request = pending.removeFirst();
             server.requestEnded();
             lastActive = server.now();
-            boolean last = !request.keepAlive || server.leaving();
+            // Requests behind this one may have reached a backend server already, so their answers must follow.
+            boolean last = !request.keepAlive || server.leaving() && pending.isEmpty() && head == null;
             write(request, last);
             wrote = true;
             if (last) {
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -26,10 +26,12 @@
  * Counts and logs what the decisions did, and records the decisions of the serving side if there is a file for them.
  *
  * <p>Lines are written by a thread of their own; when its ring is full, lines are dropped and counted, so that a
- * slow file never delays a call. Safe for use by any thread.
+ * slow file never delays a call. Each kind of line has a budget a second, so that an overload does not become one of the
+ * log. Safe for use by any thread.
  */
 public final class Telemetry implements CallRecorder, AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger("refusal");
+    private static final Logger DECISIONS = LoggerFactory.getLogger("decision");
     private static final int RING_SIZE = 4096;
     private static final Duration TICK = Duration.ofSeconds(1);
 
@@ -40,6 +42,10 @@
     private final Timer queueTime;
     private final Counter retries;
     private final Counter droppedLines;
+    private final LineBudget refusalLines;
+    private final LineBudget unreadLines;
+    private final LineBudget retryLines;
+    private final LineBudget servingLines;
     private final Optional<DecisionTrace> trace;
 
     /** Starts the thread that writes log lines. */
@@ -62,6 +68,10 @@
         this.queueTime = registry.timer("serving.queue-time", Telemetry::timer);
         this.retries = registry.counter("entry.retries");
         this.droppedLines = registry.counter("telemetry.dropped-lines");
+        this.refusalLines = new LineBudget(droppedLines);
+        this.unreadLines = new LineBudget(droppedLines);
+        this.retryLines = new LineBudget(droppedLines);
+        this.servingLines = new LineBudget(droppedLines);
     }
 
     private static Timer timer() {
@@ -98,22 +108,60 @@
     public void served(CallEntry entry, CallMessage message, ResultCode code, long now) {
         registry.counter("serving.result." + code.number()).inc();
         servingTime.update(now - entry.arrived(), TimeUnit.NANOSECONDS);
+        if (code != ResultCode.ANSWERED && code != ResultCode.ANSWERED_AGAIN && servingLines.take(now)) {
+            write(() -> DECISIONS.info(
+                    "call not answered here",
+                    StructuredArguments.kv("requestId", message.requestId()),
+                    StructuredArguments.kv("service", message.service()),
+                    StructuredArguments.kv("kind", message.kind()),
+                    StructuredArguments.kv("code", code.number()),
+                    StructuredArguments.kv("name", code.name()),
+                    StructuredArguments.kv("run", code.runState().label()),
+                    StructuredArguments.kv("elapsedMs", milliseconds(now - entry.arrived())),
+                    StructuredArguments.kv("timeLeftMs", milliseconds(entry.deadline() - now)),
+                    StructuredArguments.kv("configuration", message.documentNumber())));
+        }
+    }
+
+    @Override
+    public void retried(InboundCall call, Basis basis, Refusal refusal, long now) {
+        if (retryLines.take(now)) {
+            write(() -> DECISIONS.info(
+                    "call tried again",
+                    StructuredArguments.kv("requestId", call.requestId()),
+                    StructuredArguments.kv("service", call.service()),
+                    StructuredArguments.kv("kind", call.kind()),
+                    StructuredArguments.kv("code", refusal.code().number()),
+                    StructuredArguments.kv("detail", refusal.detail()),
+                    StructuredArguments.kv("elapsedMs", milliseconds(now - call.arrived())),
+                    StructuredArguments.kv("server", basis.server()),
+                    StructuredArguments.kv("configuration", basis.documentNumber()),
+                    StructuredArguments.kv("vmList", basis.listRevision())));
+        }
     }
 
     @Override
-    public void replied(InboundCall call, CallReply reply, long now) {
+    public void replied(InboundCall call, CallReply reply, Basis basis, long now) {
         registry.counter("entry.result." + reply.code().number()).inc();
         entryTime.update(now - call.arrived(), TimeUnit.NANOSECONDS);
         retries.inc(reply.retries());
         if (reply.refusal().isPresent() && reply.code() != ResultCode.TICKET_REQUIRED) {
-            log(reply.requestId(), call.service(), call.kind(), reply.refusal().get(), reply.retries());
+            log(call, reply, basis, now);
         }
     }
 
     /** Takes a request that was refused before its service and kind were read. */
     public void refusedUnread(String requestId, Refusal refusal) {
         registry.counter("entry.result." + refusal.code().number()).inc();
-        log(requestId, "", "", refusal, 0);
+        if (unreadLines.take(System.nanoTime())) {
+            write(() -> LOGGER.info(
+                    "request refused",
+                    StructuredArguments.kv("requestId", requestId),
+                    StructuredArguments.kv("code", refusal.code().number()),
+                    StructuredArguments.kv("name", refusal.code().name()),
+                    StructuredArguments.kv("run", refusal.code().runState().label()),
+                    StructuredArguments.kv("detail", refusal.detail())));
+        }
     }
 
     /** Returns the share of the ring of log lines that is in use, 0 to 1. */
@@ -127,19 +175,35 @@
         trace.ifPresent(DecisionTrace::close);
     }
 
-    private void log(String requestId, String service, String kind, Refusal refusal, int retries) {
-        boolean taken = duty.offer(() -> LOGGER.info(
+    private void log(InboundCall call, CallReply reply, Basis basis, long now) {
+        if (!refusalLines.take(now)) {
+            return;
+        }
+        Refusal refusal = reply.refusal().orElseThrow();
+        write(() -> LOGGER.info(
                 "request refused",
-                StructuredArguments.kv("requestId", requestId),
-                StructuredArguments.kv("service", service),
-                StructuredArguments.kv("kind", kind),
+                StructuredArguments.kv("requestId", reply.requestId()),
+                StructuredArguments.kv("service", call.service()),
+                StructuredArguments.kv("kind", call.kind()),
                 StructuredArguments.kv("code", refusal.code().number()),
                 StructuredArguments.kv("name", refusal.code().name()),
                 StructuredArguments.kv("run", refusal.code().runState().label()),
                 StructuredArguments.kv("detail", refusal.detail()),
-                StructuredArguments.kv("retries", retries)));
-        if (!taken) {
+                StructuredArguments.kv("retries", reply.retries()),
+                StructuredArguments.kv("elapsedMs", milliseconds(now - call.arrived())),
+                StructuredArguments.kv("server", basis.server()),
+                StructuredArguments.kv("configuration", basis.documentNumber()),
+                StructuredArguments.kv("vmList", basis.listRevision()),
+                StructuredArguments.kv("refusedShare", basis.refusedShare())));
+    }
+
+    private void write(Runnable line) {
+        if (!duty.offer(line)) {
             droppedLines.inc();
         }
     }
+
+    private static long milliseconds(long nanoseconds) {
+        return TimeUnit.NANOSECONDS.toMillis(nanoseconds);
+    }
 }
--- a/node/src/test/java/org/plantainshunt/call/SilentRecorder.java
+++ b/node/src/test/java/org/plantainshunt/call/SilentRecorder.java
@@ -13,5 +13,5 @@
     public void served(CallEntry entry, CallMessage message, ResultCode code, long now) {}
 
     @Override
-    public void replied(InboundCall call, CallReply reply, long now) {}
+    public void replied(InboundCall call, CallReply reply, Basis basis, long now) {}
 }
--- a/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
+++ b/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
@@ -146,6 +146,21 @@
         }
     }
 
+    /** Guards against a stop that drops requests which were sent ahead and run already. */
+    @Test
+    void leavingServerAnswersTheRequestsThatWereSentAhead() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, get("/one") + get("/two"));
+            Taken one = next();
+            Taken two = next();
+            server.leave();
+            one.reply().accept(text("first"));
+            two.reply().accept(text("second"));
+            String answers = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answers.contains("first") && answers.contains("second"), answers);
+        }
+    }
+
     private void assertRefused(String request, int status) throws Exception {
         try (Socket caller = connect()) {
             send(caller, request);
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/telemetry/LineBudgetTest.java
@@ -0,0 +1,33 @@
+package org.plantainshunt.telemetry;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LineBudgetTest {
+    private final Counter dropped = new Counter();
+    private final LineBudget budget = new LineBudget(dropped);
+
+    /** Guards against an overload that fills the log, and against lines that vanish uncounted. */
+    @Test
+    void linesOverTheBudgetAreCounted() {
+        int written = 0;
+        for (int line = 0; line < 100; line++) {
+            written += budget.take(TimeUnit.SECONDS.toNanos(5) + line) ? 1 : 0;
+        }
+        assertEquals(20, written);
+        assertEquals(80, dropped.getCount());
+    }
+
+    @Test
+    void eachSecondHasItsOwnBudget() {
+        for (int line = 0; line < 100; line++) {
+            budget.take(line);
+        }
+        assertTrue(budget.take(TimeUnit.SECONDS.toNanos(1)));
+    }
+}
