--- a/core/src/main/java/org/plantainshunt/retry/RetryBudget.java
+++ b/core/src/main/java/org/plantainshunt/retry/RetryBudget.java
@@ -63,11 +63,22 @@
      * @return whether the retry may be made
      */
     public boolean tryRetry(long now) {
+        return tryRetry(now, 1);
+    }
+
+    /**
+     * Takes a retry if the budget has room.
+     *
+     * @param now the time in nanoseconds
+     * @param cost the retries that it counts for, more than one if it repeats calls further down
+     * @return whether the retry may be made
+     */
+    public boolean tryRetry(long now, int cost) {
         moveTo(now);
-        if (sum(retries) + 1 > ratio * sum(attempts) + floor) {
+        if (sum(retries) + cost > ratio * sum(attempts) + floor) {
             return false;
         }
-        retries[bucket()]++;
+        retries[bucket()] += cost;
         return true;
     }
 
--- a/core/src/main/java/org/plantainshunt/routing/Spill.java
+++ b/core/src/main/java/org/plantainshunt/routing/Spill.java
@@ -23,8 +23,11 @@
     /** The detour over the link to another region, in nanoseconds. */
     private static final double DETOUR = Distance.OTHER_REGION.roundTrip();
 
-    /** The waiting time, as a multiple of the lowest latency, that may be the skew of the service times alone. */
-    private static final double TOLERATED = 0.75;
+    /**
+     * The waiting time, as a multiple of the lowest latency, that is borne: it may be the skew of the service times
+     * alone, and the link to another region is billed by volume.
+     */
+    private static final double TOLERATED = 3;
 
     private double share;
     private long movedAt;
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -51,6 +51,9 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** The retries that a repeat counts for if the first attempt may have run: it makes its calls a second time. */
+    private static final int COST_OF_REPEAT = 2;
+
     /** Refusals for which the ticket table has made the ticket void, so that "not run" holds for good. */
     private static final Set<ResultCode> VOIDING = Set.of(
             ResultCode.OVERLOADED,
@@ -347,7 +350,7 @@
                 || call.allowance.remaining() == 0
                 || now >= call.deadline
                 || levels.check(call.kind, call.priority.value(), now).isPresent()
-                || !preparation.retryBudget(call).tryRetry(now)) {
+                || !preparation.retryBudget(call).tryRetry(now, lost ? COST_OF_REPEAT : 1)) {
             return Optional.empty();
         }
         call.mayHaveRun |= lost;
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -50,6 +50,9 @@
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_UNAVAILABLE = 503;
 
+    /** The share of the slots in use from which a refusal of the backend server is taken for overload. */
+    private static final double FULL_SHARE = 0.9;
+
     private final String serviceName;
     private final String callIdPrefix;
     private final BackendServer backendServer;
@@ -420,7 +423,9 @@
         long now = environment.now();
         Refusal refusal = Refusal.of(code(stage), detail);
         if (refusal.code().runState() == RunState.NOT_RUN) {
-            CallEnd end = stage == BackendServer.FailureStage.NOT_RUN ? CallEnd.SHED_BY_BACKEND_SERVER : CallEnd.FAILED;
+            CallEnd end = stage == BackendServer.FailureStage.NOT_RUN && mayBeFull()
+                    ? CallEnd.SHED_BY_BACKEND_SERVER
+                    : CallEnd.FAILED;
             environment.recorder().ended(call.entry, end, now);
             queue.finished(call.entry, end, now);
             refusedBeforeHandover(call, refusal, now);
@@ -436,6 +441,11 @@
         replyRefused(call, refusal, now);
     }
 
+    /** Returns whether the backend server can be full: all its requests come from here if the list states its slots. */
+    private boolean mayBeFull() {
+        return ownSlots.isEmpty() || queue.running() >= FULL_SHARE * ownSlots.getAsInt();
+    }
+
     private static ResultCode code(BackendServer.FailureStage stage) {
         switch (stage) {
             case BEFORE_SENT:
