--- a/core/src/main/java/org/plantainshunt/configuration/Policy.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Policy.java
@@ -14,6 +14,7 @@
  * @param largestBody the largest body of a request, in bytes
  * @param largestAnswer the largest body of an answer, in bytes
  * @param retryFloor the retries of a node in 10 s, by service and class, that need no first attempts
+ * @param borneWaiting the waiting time in a region, as a multiple of the lowest latency, from which calls leave it
  */
 public record Policy(
         int retriesPerRequest,
@@ -22,11 +23,15 @@
         Duration outcomeKeptFor,
         long largestBody,
         long largestAnswer,
-        double retryFloor) {
+        double retryFloor,
+        double borneWaiting) {
     /** The usual floor of retries in 10 s. */
     private static final double USUAL_RETRY_FLOOR = 10;
 
-    /** Creates a policy with the usual floor of retries, one a second. */
+    /** A longer waiting time than this may be more than the skew of the service times alone. */
+    private static final double USUAL_BORNE_WAITING = 0.75;
+
+    /** Creates a policy with the usual floor of retries, one a second, and the usual waiting. */
     public Policy(
             int retriesPerRequest,
             double retryBudget,
@@ -41,6 +46,7 @@
                 outcomeKeptFor,
                 largestBody,
                 largestAnswer,
-                USUAL_RETRY_FLOOR);
+                USUAL_RETRY_FLOOR,
+                USUAL_BORNE_WAITING);
     }
 }
--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -43,7 +43,11 @@
      */
     private static final double DETOUR_SHARE = 0.05;
 
+    /** The waiting time that is borne until a policy is in force; it may be the skew of the service times alone. */
+    private static final double USUAL_BORNE_WAITING = 0.75;
+
     private final RandomGenerator random;
+    private double borneWaiting = USUAL_BORNE_WAITING;
     private final Map<String, Spill> spills = new HashMap<>();
 
     /**
@@ -55,6 +59,11 @@
         this.random = random;
     }
 
+    /** Sets the waiting time in a region, as a multiple of the lowest latency, from which calls leave it. */
+    public void borneWaiting(double multiple) {
+        borneWaiting = multiple;
+    }
+
     /**
      * Chooses a backend server; the caller then reports the call to it by {@link Upstream#started}.
      *
@@ -179,7 +188,7 @@
             return better(near.isEmpty() ? far : near, now);
         }
         Spill spill = spills.computeIfAbsent(near.get(0).vm().service(), service -> new Spill());
-        boolean leaves = random.nextDouble() < spill.share(near, far, now);
+        boolean leaves = random.nextDouble() < spill.share(near, far, borneWaiting, now);
         return better(leaves ? far : near, now);
     }
 
--- a/core/src/main/java/org/plantainshunt/routing/DownstreamLevels.java
+++ b/core/src/main/java/org/plantainshunt/routing/DownstreamLevels.java
@@ -64,10 +64,29 @@
      * @return the refusal, or empty if the call may be sent
      */
     public Optional<Refusal> check(Kind kind, int priorityValue, long now) {
+        return check(kind, Set.of(), priorityValue, now);
+    }
+
+    /**
+     * Checks a call whose services below are not all declared.
+     *
+     * @param kind the kind of the call
+     * @param alsoNeeded the services below that are known otherwise
+     * @param priorityValue the priority, 0 (most important) to 511
+     * @param now the time in nanoseconds
+     * @return the refusal, or empty if the call may be sent
+     */
+    public Optional<Refusal> check(Kind kind, Set<String> alsoNeeded, int priorityValue, long now) {
         if (reports.isEmpty()) {
             return Optional.empty();
         }
         Optional<String> refusing = refusing(kind, priorityValue, now, new HashSet<>());
+        for (String service : alsoNeeded) {
+            Map<String, Report> byVm = reports.get(service);
+            if (refusing.isEmpty() && byVm != null && priorityValue >= level(byVm, now)) {
+                refusing = Optional.of(service);
+            }
+        }
         if (refusing.isEmpty() || isProbe(refusing.get())) {
             return Optional.empty();
         }
--- a/core/src/main/java/org/plantainshunt/routing/Spill.java
+++ b/core/src/main/java/org/plantainshunt/routing/Spill.java
@@ -23,30 +23,28 @@
     /** The detour over the link to another region, in nanoseconds. */
     private static final double DETOUR = Distance.OTHER_REGION.roundTrip();
 
-    /**
-     * The waiting time, as a multiple of the lowest latency, that is borne: it may be the skew of the service times
-     * alone, and the link to another region is billed by volume.
-     */
-    private static final double TOLERATED = 3;
-
     private double share;
     private long movedAt;
 
-    /** Moves the share to a time in nanoseconds and returns it, 0 to 1. */
-    double share(List<Upstream> near, List<Upstream> far, long now) {
+    /**
+     * Moves the share to a time in nanoseconds and returns it, 0 to 1.
+     *
+     * @param borneWaiting the waiting time in the region, as a multiple of the lowest latency, that keeps calls there
+     */
+    double share(List<Upstream> near, List<Upstream> far, double borneWaiting, long now) {
         long elapsed = Math.max(0, Math.min(LONGEST_STEP, now - movedAt));
         movedAt = now;
-        double pressure = pressure(near, far, now);
+        double pressure = pressure(near, far, borneWaiting, now);
         share = Math.max(0, Math.min(1, share + pressure * elapsed / (pressure > 0 ? LEAVE : RETURN)));
         return share;
     }
 
     /** Returns how much the share should move, -1 to 1. */
-    private static double pressure(List<Upstream> near, List<Upstream> far, long now) {
+    private static double pressure(List<Upstream> near, List<Upstream> far, double borneWaiting, long now) {
         if (allFull(near, now)) {
             return allFull(far, now) ? 0 : 1;
         }
-        double tolerated = Math.max(DETOUR / 4, TOLERATED * lowest(near));
+        double tolerated = Math.max(DETOUR / 4, borneWaiting * lowest(near));
         double pressure = (waiting(near, now) - waiting(far, now) - tolerated) / (DETOUR / 2);
         return Math.max(-1, Math.min(1, pressure));
     }
--- a/node/src/main/java/org/plantainshunt/call/CallContexts.java
+++ b/node/src/main/java/org/plantainshunt/call/CallContexts.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import org.plantainshunt.admission.Priority;
+import org.plantainshunt.configuration.Kind;
 import org.plantainshunt.retry.AllowanceLedger;
 
 /**
@@ -20,6 +21,7 @@
 
     private final RandomGenerator random;
     private final Map<String, Context> byToken = new HashMap<>();
+    private final Map<String, Context> byRequest = new HashMap<>();
 
     CallContexts(RandomGenerator random) {
         this.random = random;
@@ -31,6 +33,7 @@
         random.nextBytes(bytes);
         String token = HexFormat.of().formatHex(bytes);
         byToken.put(token, context);
+        byRequest.put(context.requestId(), context);
         return token;
     }
 
@@ -38,17 +41,26 @@
         return Optional.ofNullable(byToken.get(token));
     }
 
+    /** Finds a request that runs now by its id, for callers that know no token. */
+    Optional<Context> findRequest(String requestId) {
+        return Optional.ofNullable(byRequest.get(requestId));
+    }
+
     void close(String token) {
-        byToken.remove(token);
+        Context closed = byToken.remove(token);
+        if (closed != null) {
+            byRequest.remove(closed.requestId(), closed);
+        }
     }
 
     /**
      * What calls made for a request inherit from it.
      *
      * @param requestId the id of the whole request
+     * @param kind the kind of the request
      * @param priority the priority of the whole request
      * @param deadline the deadline, in nanoseconds of the node's monotonic clock
      * @param ledger the allowance for retries that is left
      */
-    record Context(String requestId, Priority priority, long deadline, AllowanceLedger ledger) {}
+    record Context(String requestId, Kind kind, Priority priority, long deadline, AllowanceLedger ledger) {}
 }
--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -28,6 +28,7 @@
 final class CallPreparation {
     private final Environment environment;
     private final Map<Kind, Set<String>> servicesBelow = new HashMap<>();
+    private final Map<Kind, Set<Kind>> learned = new HashMap<>();
     private DeclaredCalls declaredCalls = new DeclaredCalls(this::kind);
     private Optional<Document> document = Optional.empty();
     private final Map<BudgetKey, RetryBudget> retryBudgets = new HashMap<>();
@@ -39,6 +40,7 @@
     void configure(Document accepted) {
         document = Optional.of(accepted);
         servicesBelow.clear();
+        learned.clear();
         declaredCalls = new DeclaredCalls(this::kind);
         retryBudgets.keySet().removeIf(key -> accepted.service(key.service()).isEmpty());
         retryBudgets
@@ -85,6 +87,11 @@
         return found;
     }
 
+    /** Returns the kinds that backend servers called while they ran requests of a kind, as far as this node saw. */
+    Set<Kind> calledFor(Kind kind) {
+        return learned.getOrDefault(kind, Set.of());
+    }
+
     Optional<Kind> kind(String service, String name) {
         return document.flatMap(known -> known.kind(service, name));
     }
@@ -107,7 +114,14 @@
         long asked = TimeUnit.MILLISECONDS.toNanos(
                 inbound.deadlineMilliseconds().orElse(call.kind.deadline().toMillis()));
         call.deadline = inbound.arrived() + Math.min(longest, asked);
-        return inbound.fromBackendServer() ? inherit(call) : begin(call);
+        if (inbound.fromBackendServer()) {
+            return inherit(call);
+        }
+        Optional<CallContexts.Context> madeFor = inbound.context().flatMap(environment.contexts()::findRequest);
+        if (madeFor.isEmpty()) {
+            return begin(call);
+        }
+        return beginFor(call, madeFor.get());
     }
 
     /** Prepares a call that a backend server makes: it belongs to the request that runs there. */
@@ -161,6 +175,16 @@
         return Optional.empty();
     }
 
+    /** Prepares a call that is made for a request which runs here, on the word of its id alone: it gets no allowance. */
+    private Optional<Refusal> beginFor(EntryCall call, CallContexts.Context request) {
+        Optional<Refusal> refusal = begin(call);
+        call.nested = true;
+        call.priority = request.priority();
+        call.deadline = Math.min(call.deadline, request.deadline());
+        learned.computeIfAbsent(request.kind(), kind -> new HashSet<>()).add(call.kind);
+        return refusal;
+    }
+
     private static int mostRetries(Kind kind, Policy policy) {
         int attempts = kind.mostAttempts().orElse(Integer.MAX_VALUE);
         return Math.min(policy.retriesPerRequest(), attempts - 1);
--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -12,6 +12,7 @@
 import org.plantainshunt.admission.AdmissionQueue;
 import org.plantainshunt.admission.FailureShedding;
 import org.plantainshunt.configuration.Document;
+import org.plantainshunt.configuration.Kind;
 import org.plantainshunt.configuration.Service;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.configuration.VmList;
@@ -237,8 +238,8 @@
                 tickets.size());
     }
 
-    private Map<String, Integer> deeperLevels() {
-        return entry.levels();
+    private Map<String, Integer> deeperLevels(Kind kind) {
+        return entry.levelsBelow(kind);
     }
 
     private int slots(String service) {
--- a/node/src/main/java/org/plantainshunt/call/EntryCall.java
+++ b/node/src/main/java/org/plantainshunt/call/EntryCall.java
@@ -28,6 +28,9 @@
     Share share;
     AttemptAllowance allowance;
     boolean mayHaveRun;
+    /** Whether the call is made for a request that runs here. */
+    boolean nested;
+
     int retries;
     boolean done;
     /** The VM that the call was last sent to. */
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -72,6 +73,9 @@
     private final LinkBudgets links;
     private final FailureShedding shedding;
     private final Map<Long, EntryCall> calls = new HashMap<>();
+    /** The services that serving nodes reported to be needed below a kind; few kinds have any. */
+    private final Map<Kind, Set<String>> reportedBelow = new HashMap<>();
+
     private final CallPreparation preparation;
     private final DownstreamLevels levels = new DownstreamLevels((service, kind) -> kind(service, kind));
     private long nextCall;
@@ -99,7 +103,9 @@
     /** Puts a configuration in force. */
     void configure(Document accepted) {
         preparation.configure(accepted);
+        reportedBelow.clear();
         links.configure(accepted);
+        choice.borneWaiting(accepted.policy().borneWaiting());
     }
 
     /** Takes a call; returns a handle for a caller that goes away. */
@@ -126,8 +132,23 @@
         }
     }
 
-    Map<String, Integer> levels() {
-        return levels.levels(environment.now());
+    /** Returns the levels of the services that a kind of request needs below its own, as far as they shed. */
+    Map<String, Integer> levelsBelow(Kind kind) {
+        Set<String> needed = servicesBelow(kind);
+        Map<String, Integer> below = new HashMap<>(levels.levels(environment.now()));
+        below.keySet().retainAll(needed);
+        return below;
+    }
+
+    /** Returns the services below a kind: those declared, and those seen or reported while requests of it ran. */
+    private Set<String> servicesBelow(Kind kind) {
+        Set<String> needed = new HashSet<>(preparation.servicesBelow(kind));
+        needed.addAll(reportedBelow.getOrDefault(kind, Set.of()));
+        for (Kind called : preparation.calledFor(kind)) {
+            needed.add(called.service());
+            needed.addAll(reportedBelow.getOrDefault(called, Set.of()));
+        }
+        return needed;
     }
 
     /** Returns the number of calls without a reply. */
@@ -144,12 +165,12 @@
             useTicket(call);
             return;
         }
-        Optional<Refusal> early = levels.check(call.kind, call.priority.value(), environment.now());
+        Optional<Refusal> early = shedBelow(call, environment.now());
         if (early.isPresent()) {
             refuse(call, early.get());
             return;
         }
-        if (call.parent.isEmpty() && shedding.refuses(call.kind, environment.now())) {
+        if (call.parent.isEmpty() && !call.nested && shedding.refuses(call.kind, environment.now())) {
             refuse(
                     call,
                     new Refusal(
@@ -341,6 +362,10 @@
         return new Refusal(ResultCode.OUTCOME_UNKNOWN, detail, refusal.retryAfterMilliseconds());
     }
 
+    private Optional<Refusal> shedBelow(EntryCall call, long now) {
+        return levels.check(call.kind, reportedBelow.getOrDefault(call.kind, Set.of()), call.priority.value(), now);
+    }
+
     /** Takes a retry from the node's budget and the call's allowance, if both and the refusal permit one. */
     private Optional<Share> tryAgain(EntryCall call, Refusal refusal) {
         boolean lost = refusal.code() == ResultCode.OUTCOME_UNKNOWN || refusal.code() == ResultCode.ANSWER_CUT;
@@ -349,7 +374,7 @@
         if (!harmless
                 || call.allowance.remaining() == 0
                 || now >= call.deadline
-                || levels.check(call.kind, call.priority.value(), now).isPresent()
+                || shedBelow(call, now).isPresent()
                 || !preparation.retryBudget(call).tryRetry(now, lost ? COST_OF_REPEAT : 1)) {
             return Optional.empty();
         }
@@ -369,7 +394,12 @@
             return;
         }
         levels.report(vm, kind.service(), own, now);
-        for (String service : preparation.servicesBelow(kind)) {
+        load.levels().keySet().stream()
+                .filter(service -> !service.equals(kind.service()))
+                .forEach(service -> reportedBelow
+                        .computeIfAbsent(kind, reporting -> new HashSet<>())
+                        .add(service));
+        for (String service : servicesBelow(kind)) {
             levels.report(vm, service, load.levels().getOrDefault(service, DownstreamLevels.ADMITS_ALL), now);
         }
     }
--- a/node/src/main/java/org/plantainshunt/call/InboundCall.java
+++ b/node/src/main/java/org/plantainshunt/call/InboundCall.java
@@ -21,7 +21,8 @@
  * @param ticket the ticket, if the caller has one
  * @param deadlineMilliseconds the caller's remaining time in milliseconds, if it states one
  * @param attempt 1 for the first attempt of the caller
- * @param context the context token, if the request is part of a chain
+ * @param context the context token, if the request is part of a chain; of a request that does not come from the backend
+ *     server's own address, the id of the request that it may be made for
  * @param traceParent the W3C trace parent, or an empty text
  * @param fromBackendServer whether the request arrived at the outbound address
  * @param arrived when the node read the request, in nanoseconds of its monotonic clock
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 import org.plantainshunt.admission.Admission;
 import org.plantainshunt.admission.AdmissionQueue;
@@ -58,7 +58,7 @@
     private final BackendServer backendServer;
     private final Environment environment;
     private final TicketTable tickets;
-    private final Supplier<Map<String, Integer>> deeperLevels;
+    private final Function<Kind, Map<String, Integer>> deeperLevels;
     private final Map<CallEntry, ServedCall> calls = new HashMap<>();
     private final Map<String, ServedCall> byTicket = new HashMap<>();
     private Optional<Document> document = Optional.empty();
@@ -73,7 +73,7 @@
             BackendServer backendServer,
             Environment environment,
             TicketTable tickets,
-            Supplier<Map<String, Integer>> deeperLevels) {
+            Function<Kind, Map<String, Integer>> deeperLevels) {
         this.serviceName = identity.service();
         this.callIdPrefix = Long.toHexString(identity.incarnation()) + "-";
         this.backendServer = backendServer;
@@ -198,12 +198,12 @@
         }
     }
 
-    /** Returns what travels back with each answer and refusal. */
-    LoadReport load() {
-        Map<String, Integer> levels = new HashMap<>(deeperLevels.get());
-        if (queue == null) {
-            return new LoadReport(0, 0, levels);
+    /** Returns what travels back with an answer or refusal; levels only for a call of a known kind. */
+    private LoadReport load(Optional<Kind> kind) {
+        if (queue == null || kind.isEmpty()) {
+            return new LoadReport(0, 0, Map.of());
         }
+        Map<String, Integer> levels = new HashMap<>(deeperLevels.apply(kind.get()));
         levels.put(serviceName, queue.level());
         return new LoadReport(queue.running(), queue.waiting(), levels);
     }
@@ -284,7 +284,7 @@
                         headers,
                         outcome.body(),
                         call.message.share().allowance(),
-                        load()));
+                        load(Optional.of(call.kind))));
     }
 
     private void startReady(long now) {
@@ -310,7 +310,7 @@
         call.context = environment
                 .contexts()
                 .open(new CallContexts.Context(
-                        message.requestId(), call.entry.priority(), call.entry.deadline(), call.ledger));
+                        message.requestId(), call.kind, call.entry.priority(), call.entry.deadline(), call.ledger));
         environment.recorder().started(call.entry, message, now);
         BackendServer.Handover handover = new BackendServer.Handover(
                 call.entry.id(),
@@ -399,8 +399,8 @@
             tickets.answered(ticket, outcome(status, headers, body), now);
         }
         ended(call, shed(status, headers) ? CallEnd.SHED_BY_BACKEND_SERVER : CallEnd.ANSWERED, now);
-        AnswerMessage answer =
-                new AnswerMessage(ResultCode.ANSWERED, status, headers, body, call.ledger.close(), load());
+        AnswerMessage answer = new AnswerMessage(
+                ResultCode.ANSWERED, status, headers, body, call.ledger.close(), load(Optional.of(call.kind)));
         call.takeWaiters().forEach(waiter -> waiter.answered(answer));
         call.hop.end(call.message.requestId(), ResultCode.ANSWERED);
         environment.recorder().served(call.entry, call.message, ResultCode.ANSWERED, now);
@@ -467,7 +467,8 @@
     private void replyRefused(ServedCall call, Refusal refusal, long now) {
         call.replied = true;
         int unused = call.ledger == null ? call.message.share().allowance() : call.ledger.close();
-        call.takeWaiters().forEach(waiter -> refuse(waiter, refusal, unused));
+        LoadReport load = load(Optional.of(call.kind));
+        call.takeWaiters().forEach(waiter -> waiter.refused(new RefusalMessage(refusal, unused, load, true)));
         if (call.hop != null) {
             call.hop.end(call.message.requestId(), refusal.code());
         }
@@ -476,7 +477,7 @@
     }
 
     private void refuse(AnswerListener reply, Refusal refusal, int unusedAllowance) {
-        reply.refused(new RefusalMessage(refusal, unusedAllowance, load(), true));
+        reply.refused(new RefusalMessage(refusal, unusedAllowance, load(Optional.empty()), true));
     }
 
     /** A call from its arrival to the end of its work at the backend server. */
--- a/node/src/test/java/org/plantainshunt/call/FakeVm.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeVm.java
@@ -56,7 +56,7 @@
                 backendServer,
                 environment,
                 tickets,
-                Map::of);
+                kind -> Map.of());
         entry = new EntrySide(
                 name,
                 serving,
