--- a/node/src/main/java/org/plantainshunt/node/LogConfiguration.java
+++ b/node/src/main/java/org/plantainshunt/node/LogConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.Configurator;
@@ -10,9 +11,11 @@
 import ch.qos.logback.core.spi.ContextAwareBase;
 import net.logstash.logback.encoder.LogstashEncoder;
 import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Writes log lines as JSON to standard output.
+ * Writes log lines as JSON to standard output, on a thread of its own: an event loop must not wait for whoever reads
+ * them. While the queue is full, lines are dropped.
  *
  * <p>It takes the place of an XML file, whose reading took a good part of the processor time of a start. Stateless.
  */
@@ -20,6 +23,16 @@
     /** Libraries that log each connection of a caller as an event. */
     private static final Map<String, Level> QUIETER = Map.of("ratpack", Level.WARN, "io.netty", Level.WARN);
 
+    /** The lines of a few seconds at the bound that each kind of line has. */
+    private static final int QUEUED_LINES = 512;
+
+    /** Writes the lines that wait and stops logging; called when the process ends. */
+    public static void flush() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext loggers) {
+            loggers.stop();
+        }
+    }
+
     @Override
     public void configure(LoggerContext loggers) {
         LogstashEncoder encoder = new LogstashEncoder();
@@ -31,7 +44,14 @@
         standardOutput.setEncoder(encoder);
         standardOutput.start();
         loggers.getLogger(Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
-        loggers.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(standardOutput);
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(loggers);
+        queue.setQueueSize(QUEUED_LINES);
+        queue.setDiscardingThreshold(0);
+        queue.setNeverBlock(true);
+        queue.addAppender(standardOutput);
+        queue.start();
+        loggers.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(queue);
         QUIETER.forEach((name, level) -> loggers.getLogger(name).setLevel(level));
     }
 }
--- a/node/src/main/java/org/plantainshunt/node/NodeMain.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeMain.java
@@ -40,7 +40,9 @@
             System.exit(EXIT_USAGE);
             return;
         }
-        System.exit(run(Path.of(options.getString("settings")), options.getBoolean("check")));
+        int status = run(Path.of(options.getString("settings")), options.getBoolean("check"));
+        LogConfiguration.flush();
+        System.exit(status);
     }
 
     private static int run(Path file, boolean checkOnly) {
@@ -71,6 +73,7 @@
                 .addShutdownHook(new Thread(
                         () -> {
                             node.close();
+                            LogConfiguration.flush();
                             stopped.countDown();
                         },
                         "stop"));
