--- a/core/src/main/java/org/plantainshunt/admission/FailureShedding.java
+++ b/core/src/main/java/org/plantainshunt/admission/FailureShedding.java
@@ -31,18 +31,18 @@
     private static final double MEMORY = TimeUnit.MILLISECONDS.toNanos(4_000);
     /** The results, by weight, below which chance alone may make a kind look bad. */
     private static final double ENOUGH_RESULTS = 12;
-    /** The failing share from which a kind suffers; one faulty server of four with every second answer stays below. */
-    private static final double SUFFERING = 0.2;
+    /** The failing share from which a kind suffers; two faulty servers of four with every second answer stay below. */
+    private static final double SUFFERING = 0.35;
     /** The failing share that is aimed at while a kind suffers. */
-    private static final double AIM = 0.1;
+    private static final double AIM = 0.2;
     /** The time in which the refused share moves from 0 to 1 if everything fails, in nanoseconds. */
-    private static final double RISE = TimeUnit.SECONDS.toNanos(2);
+    private static final double RISE = TimeUnit.MILLISECONDS.toNanos(1_500);
     /** The time in which it moves back, in nanoseconds; slower, because each return tries the overloaded service. */
-    private static final double FALL = TimeUnit.SECONDS.toNanos(4);
+    private static final double FALL = TimeUnit.SECONDS.toNanos(3);
     /** The largest refused share: the rest shows when the service has recovered. */
-    private static final double MOST_REFUSED = 0.9;
+    private static final double MOST_REFUSED = 0.7;
     /** The refused share of a class from which the next more important one is refused too. */
-    private static final double NEARLY_ALL = 0.85;
+    private static final double NEARLY_ALL = 0.65;
     /** The longest time without a call that counts as one step, in nanoseconds. */
     private static final long LONGEST_STEP = TimeUnit.MILLISECONDS.toNanos(200);
     /** The time after which a kind without calls is forgotten, in nanoseconds. */
