--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -253,7 +253,7 @@
 
     private void sendOver(Attempt attempt, InnerConnection connection) {
         EntryCall call = attempt.call;
-        if (call.attempt != attempt) {
+        if (call.done || call.attempt != attempt) {
             return;
         }
         attempt.sent = true;
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/call/CancelledCallTest.java
@@ -0,0 +1,57 @@
+package org.plantainshunt.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.result.ResultCode;
+
+class CancelledCallTest {
+    private static final String WORK = "w";
+
+    /** Guards against a request that reaches a backend server although its caller left while a connection was opened. */
+    @Test
+    void callCancelledBeforeItsConnectionOpensIsNeverSent() throws Exception {
+        FakeFleet fleet = new FakeFleet(1);
+        List<CallReply> replies = new ArrayList<>();
+        CancelHandle handle = fleet.vms.get("front-1").entry.call(lookup(fleet), replies::add);
+        handle.cancel();
+        fleet.runUntil(2_000 * FakeFleet.MILLISECOND);
+        assertEquals(List.of(ResultCode.CANCELLED_RUNNING), replies.stream().map(CallReply::code).toList());
+        assertTrue(fleet.runs.isEmpty(), "the backend server ran " + fleet.runs);
+    }
+
+    /** Shows that the same call runs if it is not cancelled. */
+    @Test
+    void callRunsOtherwise() throws Exception {
+        FakeFleet fleet = new FakeFleet(1);
+        fleet.vms.get("front-1").entry.call(lookup(fleet), reply -> {});
+        fleet.runUntil(2_000 * FakeFleet.MILLISECOND);
+        assertEquals(1, fleet.runs.get(WORK));
+    }
+
+    private static InboundCall lookup(FakeFleet fleet) {
+        return new InboundCall(
+                "deep",
+                "lookup",
+                "",
+                "POST",
+                List.of(),
+                WORK.getBytes(StandardCharsets.UTF_8),
+                WORK,
+                Optional.empty(),
+                OptionalLong.empty(),
+                1,
+                Optional.empty(),
+                "",
+                false,
+                fleet.now());
+    }
+}
