--- a/core/src/main/java/org/plantainshunt/admission/FailureShedding.java
+++ b/core/src/main/java/org/plantainshunt/admission/FailureShedding.java
@@ -12,11 +12,11 @@
 /**
  * Refuses part of the requests whose backend servers fail because a service that they call is overloaded.
  *
- * <p>A request that fails half-way has used up capacity of every service it reached. While a kind of request fails often,
- * a growing share of it is refused before it is sent, until the rest succeeds. Among the kinds that fail, only the least
- * important class is refused at first; the next one follows when nearly all of that class is refused. Kinds that succeed
- * are never refused, and a few failures, such as those of one faulty server among several, are tolerated. Confined to
- * one thread.
+ * <p>A request that fails half-way has used up capacity of every service it reached. While a kind of request fails
+ * often, a growing share of it is refused before it is sent, until the rest succeeds. Among the kinds that fail, only
+ * the least important class is refused at first; the next one follows when nearly all of that class is refused. Kinds
+ * that succeed are never refused, and a few failures, such as those of one faulty server among several, are tolerated.
+ * Confined to one thread.
  *
  * <pre>{@code
  * if (shedding.refuses(kind, now)) {
--- a/core/src/main/java/org/plantainshunt/retry/RetryBudget.java
+++ b/core/src/main/java/org/plantainshunt/retry/RetryBudget.java
@@ -5,9 +5,9 @@
 /**
  * The retries of a node as a share of its first attempts.
  *
- * <p>Within any 10 s the node retries at most {@code ratio} times its first attempts, plus a floor of one a second unless stated otherwise, so that a
- * failure of the whole fleet does not multiply the load. The window moves in steps of one second. Confined to one
- * thread.
+ * <p>Within any 10 s the node retries at most {@code ratio} times its first attempts, plus a floor of one a second
+ * unless stated otherwise, so that a failure of the whole fleet does not multiply the load. The window moves in steps
+ * of one second. Confined to one thread.
  */
 public final class RetryBudget {
     /** The window, in seconds; it is also the usual floor, one retry a second. */
--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -38,8 +38,8 @@
     private static final int MOST_SLOW_DIVISOR = 3;
 
     /**
-     * The whole calls, as a share of the slots, by which a server in another data centre must be less loaded: traffic between
-     * data centres is billed. Under load the difference no longer matters.
+     * The whole calls, as a share of the slots, by which a server in another data centre must be less loaded: traffic
+     * between data centres is billed. Under load the difference no longer matters.
      */
     private static final double DETOUR_SHARE = 0.05;
 
--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -175,7 +175,9 @@
         return Optional.empty();
     }
 
-    /** Prepares a call that is made for a request which runs here, on the word of its id alone: it gets no allowance. */
+    /**
+     * Prepares a call that is made for a request which runs here, on the word of its id alone: it gets no allowance.
+     */
     private Optional<Refusal> beginFor(EntryCall call, CallContexts.Context request) {
         Optional<Refusal> refusal = begin(call);
         call.nested = true;
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -47,7 +47,10 @@
 
     private static final long HEADER_BYTES = 512;
 
-    /** When a request that was shed for the failures of its kind may come back, in milliseconds: the share falls slowly. */
+    /**
+     * When a request that was shed for the failures of its kind may come back, in milliseconds: the share falls
+     * slowly.
+     */
     private static final long RETRY_AFTER_SHED = 2_000;
 
     private static final int FIRST_SERVER_ERROR = 500;
--- a/node/src/main/java/org/plantainshunt/http/BackendConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnection.java
@@ -28,14 +28,17 @@
 /**
  * One connection to the backend server.
  *
- * <p>An answer that belongs to another request is dropped, and the connection is not used again. Bytes that arrive while
- * no request is open close the connection. Confined to the event loop.
+ * <p>An answer that belongs to another request is dropped, and the connection is not used again. Bytes that arrive
+ * while no request is open close the connection. Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
     /** How long a connection may be idle if the backend server does not state its own limit. */
     private static final long UNSTATED_IDLE = TimeUnit.SECONDS.toNanos(2);
-    /** The share of the backend server's limit after which a connection is no longer used: its close may be on its way. */
+    /**
+     * The share of the backend server's limit after which a connection is no longer used: its close may be on its
+     * way.
+     */
     private static final double USED_SHARE_OF_IDLE = 0.6;
 
     private final BackendConnections pool;
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -26,8 +26,8 @@
  * Counts and logs what the decisions did, and records the decisions of the serving side if there is a file for them.
  *
  * <p>Lines are written by a thread of their own; when its ring is full, lines are dropped and counted, so that a
- * slow file never delays a call. Each kind of line has a budget a second, so that an overload does not become one of the
- * log. Safe for use by any thread.
+ * slow file never delays a call. Each kind of line has a budget a second, so that an overload does not become one of
+ * the log. Safe for use by any thread.
  */
 public final class Telemetry implements CallRecorder, AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger("refusal");
--- a/node/src/test/java/org/plantainshunt/call/CancelledCallTest.java
+++ b/node/src/test/java/org/plantainshunt/call/CancelledCallTest.java
@@ -1,8 +1,5 @@
 package org.plantainshunt.call;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,10 +10,15 @@
 import org.plantainshunt.protocol.CancelHandle;
 import org.plantainshunt.result.ResultCode;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class CancelledCallTest {
     private static final String WORK = "w";
 
-    /** Guards against a request that reaches a backend server although its caller left while a connection was opened. */
+    /**
+     * Guards against a request that reaches a backend server although its caller left while a connection was opened.
+     */
     @Test
     void callCancelledBeforeItsConnectionOpensIsNeverSent() throws Exception {
         FakeFleet fleet = new FakeFleet(1);
@@ -24,7 +26,9 @@
         CancelHandle handle = fleet.vms.get("front-1").entry.call(lookup(fleet), replies::add);
         handle.cancel();
         fleet.runUntil(2_000 * FakeFleet.MILLISECOND);
-        assertEquals(List.of(ResultCode.CANCELLED_RUNNING), replies.stream().map(CallReply::code).toList());
+        assertEquals(
+                List.of(ResultCode.CANCELLED_RUNNING),
+                replies.stream().map(CallReply::code).toList());
         assertTrue(fleet.runs.isEmpty(), "the backend server ran " + fleet.runs);
     }
 
--- a/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
+++ b/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
@@ -115,7 +115,8 @@
         try (Socket caller = connect()) {
             send(
                     caller,
-                    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+                    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
             Taken request = next();
             assertEquals("abcde", new String(request.call().body(), StandardCharsets.US_ASCII));
             assertFalse(request.call().header("Transfer-Encoding").isPresent());
