--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -275,25 +275,4 @@
      * @param incarnation a number that no other process has
      */
     public record Identity(String vm, String service, String dataCentre, long incarnation) {}
-
-    /** Cancels a call that may not have reached the decisions yet. */
-    private static final class PendingCancel implements CancelHandle {
-        private CancelHandle target;
-        private boolean cancelled;
-
-        synchronized void resolve(CancelHandle resolved) {
-            target = resolved;
-            if (cancelled) {
-                resolved.cancel();
-            }
-        }
-
-        @Override
-        public synchronized void cancel() {
-            cancelled = true;
-            if (target != null) {
-                target.cancel();
-            }
-        }
-    }
 }
--- a/node/src/main/java/org/plantainshunt/node/NodeMain.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeMain.java
@@ -1,7 +1,6 @@
 package org.plantainshunt.node;
 
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -68,20 +67,7 @@
             LOGGER.error("the node cannot start", e);
             return EXIT_FAILED;
         }
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            node.close();
-                            LogConfiguration.flush();
-                            stopped.countDown();
-                        },
-                        "stop"));
-        try {
-            stopped.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        StopSignal.await(node, () -> {});
         return 0;
     }
 }
