--- a/node/src/main/java/org/plantainshunt/http/HttpCall.java
+++ b/node/src/main/java/org/plantainshunt/http/HttpCall.java
@@ -6,7 +6,7 @@
 import org.plantainshunt.protocol.Header;
 
 /**
- * A whole HTTP request or answer head with its body, as it was read.
+ * A whole HTTP request.
  *
  * <p>Immutable but for the body, which nobody changes.
  *
