--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -147,7 +147,7 @@
     public void stopListening() {
         Channel channel = listener.get();
         if (channel != null) {
-            channel.close();
+            ListenerClose.begin(channel);
         }
     }
 
--- a/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
+++ b/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
@@ -103,9 +103,13 @@
         leaving = true;
     }
 
-    /** Accepts no further connections, and closes those without a request. */
+    /**
+     * Accepts no further connections, and closes those without a request.
+     *
+     * <p>Those that have not had a request stay open, since a first one may be on its way.
+     */
     public void stopListening() {
-        listening.close();
+        ListenerClose.begin(listening);
         loop.execute(() -> new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle));
     }
 
--- a/node/src/main/java/org/plantainshunt/http/ServerConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -56,6 +56,7 @@
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteArrayOutputStream body;
+    private boolean used;
     private boolean closing;
     private boolean bytesOfNextRequest;
     private long lastActive;
@@ -133,8 +134,9 @@
         }
     }
 
+    /** Closes a connection that has had requests and has none. */
     void closeIfIdle() {
-        if (pending.isEmpty() && head == null) {
+        if (used && pending.isEmpty() && head == null) {
             context.close();
         }
     }
@@ -144,6 +146,7 @@
     }
 
     private void begin(HttpRequest request) {
+        used = true;
         bytesOfNextRequest = false;
         lastActive = server.now();
         Optional<Integer> refused = problem(request);
--- a/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
+++ b/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 class PipelinedServerTest {
     private static final int TIMEOUT_SECONDS = 10;
@@ -162,6 +164,60 @@
         }
     }
 
+    /** Guards against connections that the kernel has made and that are reset when a busy node stops to listen. */
+    @Test
+    void stopAnswersConnectionsThatWaitToBeAccepted() throws Exception {
+        CountDownLatch busy = new CountDownLatch(1);
+        loops.next().execute(() -> awaitQuietly(busy));
+        try (Socket caller = connect()) {
+            send(caller, get("/one"));
+            server.leave();
+            server.stopListening();
+            busy.countDown();
+            next().reply().accept(text("whole"));
+            assertTrue(readUntil(caller, "whole").endsWith("whole"), "not answered");
+        }
+    }
+
+    /** Guards against a connection that is closed while its first request is on the way. */
+    @Test
+    void stopAnswersFirstRequestOfConnection() throws Exception {
+        try (Socket caller = connect();
+                Socket used = connect()) {
+            send(used, get("/one"));
+            next().reply().accept(text("before"));
+            readUntil(used, "before");
+            server.stopListening();
+            assertEquals(-1, used.getInputStream().read());
+            send(caller, get("/two"));
+            next().reply().accept(text("whole"));
+            assertTrue(readUntil(caller, "whole").endsWith("whole"), "not answered");
+        }
+    }
+
+    /** Guards against a stop that leaves the address open when nobody connects. */
+    @Test
+    void stopEndsListeningWithoutCallers() throws Exception {
+        server.stopListening();
+        long start = System.nanoTime();
+        while (System.nanoTime() - start < TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)) {
+            try {
+                connect().close();
+            } catch (ConnectException e) {
+                return;
+            }
+        }
+        fail("still listening");
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void assertRefused(String request, int status) throws Exception {
         try (Socket caller = connect()) {
             send(caller, request);
