--- a/node/src/main/java/org/plantainshunt/duty/EventLoopWorker.java
+++ b/node/src/main/java/org/plantainshunt/duty/EventLoopWorker.java
@@ -1,11 +1,10 @@
 package org.plantainshunt.duty;
 
 import java.time.Duration;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.EventLoop;
+import org.plantainshunt.protocol.LoopTimer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,7 +13,8 @@
  *
  * <p>On a VM of about one core, handing each call from thread to thread costs more than the decisions themselves. Tasks
  * run in the order of submission, and a task that is submitted by another one runs after it. New work is taken only
- * while less than half of the room is used, as in a {@link Duty}. Safe for use by any thread.
+ * while less than half of the room is used, as in a {@link Duty}. A task that fails is logged. Safe for use by any
+ * thread.
  */
 public final class EventLoopWorker implements Worker {
     private static final Logger LOGGER = LoggerFactory.getLogger(EventLoopWorker.class);
@@ -23,7 +23,7 @@
     private final String name;
     private final int room;
     private final AtomicInteger waiting = new AtomicInteger();
-    private final Future<?> ticks;
+    private final LoopTimer ticks;
 
     /**
      * Begins the regular work.
@@ -38,8 +38,7 @@
         this.loop = loop;
         this.name = name;
         this.room = room;
-        long period = tickEvery.toNanos();
-        this.ticks = loop.scheduleWithFixedDelay(() -> run(tick), period, period, TimeUnit.NANOSECONDS);
+        this.ticks = LoopTimer.every(loop, tickEvery, name, tick);
     }
 
     @Override
@@ -67,7 +66,7 @@
 
     @Override
     public void close() {
-        ticks.cancel(false);
+        ticks.cancel();
     }
 
     private void run(Runnable task) {
--- a/node/src/main/java/org/plantainshunt/http/BackendConnections.java
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnections.java
@@ -1,14 +1,13 @@
 package org.plantainshunt.http;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
@@ -21,6 +20,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.plantainshunt.call.BackendServer.FailureStage;
+import org.plantainshunt.protocol.LoopTimer;
 
 /**
  * The connections to the backend server on the node's VM, each with one request at a time.
@@ -32,14 +32,14 @@
     /** A backend server on the same VM accepts at once or not at all. */
     private static final int CONNECT_MILLISECONDS = 1_000;
 
-    private static final long SWEEP_MILLISECONDS = 500;
+    private static final Duration SWEEP_EVERY = Duration.ofMillis(500);
 
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final LongSupplier clock;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Channel> channels = new HashSet<>();
-    private final Future<?> sweep;
+    private final LoopTimer sweep;
 
     /**
      * A request and whom its end concerns.
@@ -114,8 +114,7 @@
         this.loop = loop;
         this.address = address;
         this.clock = clock;
-        this.sweep = loop.scheduleWithFixedDelay(
-                this::closeStale, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+        this.sweep = LoopTimer.every(loop, SWEEP_EVERY, "the check of backend connections", this::closeStale);
     }
 
     /** Sends a request over a connection that is open, or a new one. */
@@ -142,7 +141,7 @@
 
     @Override
     public void close() {
-        sweep.cancel(false);
+        sweep.cancel();
         loop.execute(() -> new ArrayList<>(channels).forEach(Channel::close));
     }
 
--- a/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
+++ b/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
@@ -3,11 +3,10 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -23,6 +22,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.plantainshunt.configuration.RequestLimits;
 import org.plantainshunt.protocol.CancelHandle;
+import org.plantainshunt.protocol.LoopTimer;
 
 /**
  * An HTTP/1.1 server that runs the requests of a connection at once and answers them in the order they were sent.
@@ -35,7 +35,7 @@
     /** Pending connections that the kernel accepts by itself; enough for callers that reconnect at once. */
     private static final int ACCEPT_BACKLOG = 1_024;
     /** The time between two looks for connections that are idle or slow, a small part of the shortest limit. */
-    private static final long SWEEP_MILLISECONDS = 500;
+    private static final Duration SWEEP_EVERY = Duration.ofMillis(500);
 
     private static final int CHUNK_BYTES = 16 * 1024;
 
@@ -46,7 +46,7 @@
     private final Set<ServerConnection> connections = new HashSet<>();
     private final AtomicInteger open = new AtomicInteger();
     private final Channel listening;
-    private final Future<?> sweep;
+    private final LoopTimer sweep;
     private volatile boolean leaving;
 
     /** Takes whole requests, on the event loop. */
@@ -84,8 +84,7 @@
         this.limits = limits;
         this.clock = clock;
         this.listening = bind(address);
-        this.sweep =
-                loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLISECONDS, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+        this.sweep = LoopTimer.every(loop, SWEEP_EVERY, "the check of caller connections", this::sweep);
     }
 
     /** Returns the address that is listened on. */
@@ -115,8 +114,8 @@
 
     @Override
     public void close() {
-        sweep.cancel(false);
-        listening.close().awaitUninterruptibly(SWEEP_MILLISECONDS);
+        sweep.cancel();
+        listening.close().awaitUninterruptibly(SWEEP_EVERY.toMillis());
         loop.execute(() -> new ArrayList<>(connections).forEach(ServerConnection::closeNow));
     }
 
--- a/node/src/main/java/org/plantainshunt/http/ServerConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.http;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -117,7 +118,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
-        LOGGER.debug("caller connection {} failed: {}", failed.channel(), cause.toString());
+        if (cause instanceof IOException) {
+            LOGGER.debug("caller connection {} failed: {}", failed.channel(), cause.toString());
+        } else {
+            LOGGER.error("caller connection {} failed", failed.channel(), cause);
+        }
         failed.close();
     }
 
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/duty/EventLoopWorkerTest.java
@@ -0,0 +1,49 @@
+package org.plantainshunt.duty;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class EventLoopWorkerTest {
+    private static final int TIMEOUT_SECONDS = 10;
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Guards against time limits that no longer fall due after an error, such as a stack that overflowed. */
+    @Test
+    void ticksGoOnAfterError() throws Exception {
+        CountDownLatch ticks = new CountDownLatch(3);
+        EventLoopWorker worker = new EventLoopWorker(loops.next(), "test", 8, Duration.ofMillis(1), () -> {
+            ticks.countDown();
+            throw new StackOverflowError("of the test");
+        });
+        assertTrue(ticks.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), ticks.getCount() + " ticks are missing");
+        worker.close();
+    }
+
+    /** Guards against room that is never given back after an error. */
+    @Test
+    void failedTasksTakeNoRoom() throws Exception {
+        EventLoopWorker worker = new EventLoopWorker(loops.next(), "test", 8, Duration.ofSeconds(1), () -> {});
+        for (int index = 0; index < 100; index++) {
+            worker.submit(() -> {
+                throw new StackOverflowError("of the test");
+            });
+        }
+        loops.next().submit(() -> {}).await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(0, worker.fill());
+        worker.close();
+    }
+}
--- a/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -1,5 +1,6 @@
 package org.plantainshunt.protocol;
 
+import java.io.IOException;
 import java.util.concurrent.RejectedExecutionException;
 
 import io.netty.channel.Channel;
@@ -244,10 +245,10 @@
     public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
         if (cause instanceof ProtocolException || cause instanceof DecoderException) {
             LOGGER.warn("connection with {} at {} closed: {}", peer.vm(), channel.remoteAddress(), reason(cause));
-        } else if (cause instanceof RuntimeException) {
-            LOGGER.error("connection with {} at {} closed", peer.vm(), channel.remoteAddress(), cause);
-        } else {
+        } else if (cause instanceof IOException) {
             LOGGER.debug("connection with {} at {} closed", peer.vm(), channel.remoteAddress(), cause);
+        } else {
+            LOGGER.error("connection with {} at {} closed", peer.vm(), channel.remoteAddress(), cause);
         }
         close();
     }
--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -80,8 +80,8 @@
             InnerSettings settings, CallHandler callHandler, PeerHandler peerHandler, EventLoopGroup eventLoops) {
         context = new EndpointContext(settings, callHandler, peerHandler);
         this.eventLoops = eventLoops;
-        long silence = settings.silence().toNanos();
-        eventLoops.next().scheduleWithFixedDelay(context.peers()::checkSilence, silence, silence, TimeUnit.NANOSECONDS);
+        LoopTimer.every(
+                eventLoops.next(), settings.silence(), "the check of silent nodes", context.peers()::checkSilence);
     }
 
     /**
--- /dev/null
+++ b/protocol/src/test/java/org/plantainshunt/protocol/LoopTimerTest.java
@@ -0,0 +1,34 @@
+package org.plantainshunt.protocol;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LoopTimerTest {
+    private static final int TIMEOUT_SECONDS = 10;
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** Guards against regular work, such as time limits of calls, that ends for good at its first failure. */
+    @Test
+    void failedRunIsFollowedByNext() throws Exception {
+        CountDownLatch runs = new CountDownLatch(3);
+        LoopTimer work = LoopTimer.every(loops.next(), Duration.ofMillis(1), "the test", () -> {
+            runs.countDown();
+            throw new StackOverflowError("of the test");
+        });
+        assertTrue(runs.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "the work ended with " + runs.getCount() + " left");
+        work.cancel();
+    }
+}
