--- a/node/src/main/java/org/plantainshunt/call/Decisions.java
+++ b/node/src/main/java/org/plantainshunt/call/Decisions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -71,12 +72,14 @@
             Worker.Factory workers) {
         this.identity = identity;
         this.clock = clock;
+        // Tokens must not be guessed; the choices need no such source, which is far slower.
+        RandomGenerator choices = new SplittableRandom(random.nextLong());
         duty = workers.start("decisions", RING_SIZE, TICK, this::tick);
         Environment environment = new Environment(duty, clock, recorder, tracer, new CallContexts(random));
         links = new LinkBudgets(identity.dataCentre());
         membership = new Membership(identity.dataCentre(), links::region, this::slots);
         connections = new Connections(
-                connector::connect, duty, clock, random, vm -> membership.connectFailed(vm.name(), clock.getAsLong()));
+                connector::connect, duty, clock, choices, vm -> membership.connectFailed(vm.name(), clock.getAsLong()));
         tickets = new TicketTable(identity.vm(), identity.incarnation(), TICKETS, NoPolicy.POLICY, random);
         serving = new ServingSide(identity, backendServer, environment, tickets, this::deeperLevels);
         entry = new EntrySide(
@@ -85,9 +88,9 @@
                 environment,
                 membership,
                 connections,
-                new BackendServerChoice(random),
+                new BackendServerChoice(choices),
                 links,
-                new FailureShedding(random));
+                new FailureShedding(choices));
     }
 
     /** Puts a configuration in force. */
