--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -43,8 +43,8 @@
 /**
  * A running node: the duties, servers and clients of one process.
  *
- * <p>A planned stop says at once that the node is leaving, finishes what is in flight and then closes. Every call has a
- * deadline of at most 30 s, so a stop takes at most that long. Safe for use by any thread.
+ * <p>A planned stop makes the node unready, says that it is leaving, finishes what is in flight and closes. Every call
+ * has a deadline of at most 30 s, so a stop takes at most that long. Safe for use by any thread.
  */
 public final class Node implements AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
@@ -192,15 +192,14 @@
 
     boolean ready() {
         FleetControl created = control;
-        return created != null && created.complete() && !leaving;
+        return created != null && created.complete() && !leaving && !stopping;
     }
 
-    /** Stops as planned: says that the node leaves, finishes what is in flight, then closes. */
+    /** Stops as planned: is no longer ready, says that the node leaves, finishes what is in flight, then closes. */
     @Override
     public void close() {
         LOGGER.info("node {} is stopping", settings.name());
         stopping = true;
-        leave(true);
         callers.leave();
         awaitIdle();
         closeParts();
@@ -211,6 +210,9 @@
         long start = System.nanoTime();
         while (System.nanoTime() - start < stopTimes.longest().toNanos()) {
             long elapsed = System.nanoTime() - start;
+            if (elapsed >= stopTimes.serving().toNanos()) {
+                leave(true);
+            }
             if (elapsed > stopTimes.listening().toNanos()) {
                 callers.stopListening();
             }
--- a/node/src/main/java/org/plantainshunt/node/NodeParts.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeParts.java
@@ -71,9 +71,10 @@
     /**
      * The times of a planned stop, counted from its beginning.
      *
+     * @param serving how long calls for the backend server are still taken
      * @param listening how long new connections are still accepted
      * @param lastRequests how long requests may still arrive on the connections that were accepted last
      * @param longest how long calls that are open may take
      */
-    record StopTimes(Duration listening, Duration lastRequests, Duration longest) {}
+    record StopTimes(Duration serving, Duration listening, Duration lastRequests, Duration longest) {}
 }
--- a/node/src/main/java/org/plantainshunt/node/RatpackParts.java
+++ b/node/src/main/java/org/plantainshunt/node/RatpackParts.java
@@ -91,7 +91,7 @@
 
     @Override
     public StopTimes stopTimes() {
-        return new StopTimes(NEWS_TRAVEL_TIME, LAST_REQUESTS_TIME, LONGEST_STOP);
+        return new StopTimes(Duration.ZERO, NEWS_TRAVEL_TIME, LAST_REQUESTS_TIME, LONGEST_STOP);
     }
 
     private CallerServer callerServer(
