--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -164,6 +164,10 @@
     }
 
     private void route(EntryCall call) {
+        if (membership.listRevision() < 0) {
+            refuse(call, Refusal.of(ResultCode.NOT_READY, "the node has no VM list yet"));
+            return;
+        }
         if (call.inbound.ticket().isPresent() && call.kind.atMostOnce()) {
             useTicket(call);
             return;
--- a/node/src/test/java/org/plantainshunt/call/FakeVm.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeVm.java
@@ -37,6 +37,12 @@
 
     /** Starts a new process with nothing of the former one. */
     void start() {
+        startWithoutList();
+        membership.vmList(fleet.list(), fleet.now());
+    }
+
+    /** Starts a new process that has the configuration and no VM list. */
+    void startWithoutList() {
         incarnation = fleet.random.nextLong(1, Long.MAX_VALUE);
         long own = incarnation;
         fleet.log(name + " starts as " + own);
@@ -68,7 +74,6 @@
                 new FailureShedding(fleet.random()));
         serving.configure(fleet.document);
         entry.configure(fleet.document);
-        membership.vmList(fleet.list(), fleet.now());
         tick(own);
     }
 
