--- a/core/src/main/java/org/plantainshunt/result/ResultCode.java
+++ b/core/src/main/java/org/plantainshunt/result/ResultCode.java
@@ -62,8 +62,8 @@
             1111, RunState.NOT_RUN, 409, false, "This ticket was refused before and will never run; take a new one."),
     /** No connection could be made, so nothing was sent. */
     CONNECT_FAILED(1112, RunState.NOT_RUN, 503, true, "No connection could be made, so nothing was sent."),
-    /** The node has no configuration yet. */
-    NOT_READY(1113, RunState.NOT_RUN, 503, true, "The node has no configuration yet."),
+    /** The node has no configuration or no VM list yet. */
+    NOT_READY(1113, RunState.NOT_RUN, 503, true, "The node has no configuration or no VM list yet."),
     /** The connection broke after the request may have been delivered. */
     OUTCOME_UNKNOWN(
             1200, RunState.UNKNOWN, 502, false, "The connection broke after the request may have been delivered."),
