--- a/node/src/main/java/org/plantainshunt/call/Connections.java
+++ b/node/src/main/java/org/plantainshunt/call/Connections.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +30,8 @@
 final class Connections {
     private static final long FIRST_PAUSE = TimeUnit.MILLISECONDS.toNanos(200);
     private static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(3);
+    /** How long the connection to a VM that is no longer listed stays open, since no call lasts longer. */
+    private static final long UNLISTED_KEPT = TimeUnit.SECONDS.toNanos(30);
 
     private final Opener opener;
     private final TaskRunner duty;
@@ -82,24 +86,18 @@
         return peer != null && peer.connection != null && peer.connection.isOpen();
     }
 
-    /** Opens connections that had to wait for the rate, and forgets VMs that are no longer listed. */
+    /** Opens connections that had to wait for the rate, and forgets VMs that have not been listed for long. */
     void tick(long now) {
         openWaiting(now);
+        peers.values().removeIf(peer -> peer.isForgotten(now));
     }
 
-    /** Closes the connections to VMs that are not in the list. */
+    /** Lets the calls to VMs that are not in the list end; their connections are closed later. */
     void retain(List<Vm> listed) {
-        Map<String, Vm> byName = new HashMap<>();
-        listed.forEach(vm -> byName.put(vm.name(), vm));
-        Iterator<Map.Entry<String, Peer>> entries = peers.entrySet().iterator();
-        while (entries.hasNext()) {
-            Map.Entry<String, Peer> entry = entries.next();
-            if (byName.containsKey(entry.getKey()) || entry.getValue().opening) {
-                continue;
-            }
-            entry.getValue().close();
-            entries.remove();
-        }
+        long now = clock.getAsLong();
+        Set<String> names = new HashSet<>();
+        listed.forEach(vm -> names.add(vm.name()));
+        peers.forEach((name, peer) -> peer.listed(names.contains(name), now));
     }
 
     private void openWaiting(long now) {
@@ -165,6 +163,7 @@
         private boolean opening;
         private long notBefore = Long.MIN_VALUE;
         private long pause = FIRST_PAUSE;
+        private OptionalLong unlistedAt = OptionalLong.empty();
         private List<User> users = new ArrayList<>();
 
         /** Takes over the VM's current address and drops a connection to its former one. */
@@ -176,6 +175,23 @@
             vm = current;
         }
 
+        void listed(boolean now, long time) {
+            if (now) {
+                unlistedAt = OptionalLong.empty();
+            } else if (unlistedAt.isEmpty()) {
+                unlistedAt = OptionalLong.of(time);
+            }
+        }
+
+        /** Returns whether the VM has been unlisted for long, and closes the connection if so. */
+        boolean isForgotten(long now) {
+            if (opening || unlistedAt.isEmpty() || now - unlistedAt.getAsLong() < UNLISTED_KEPT) {
+                return false;
+            }
+            close();
+            return true;
+        }
+
         List<User> takeUsers() {
             List<User> taken = users;
             users = new ArrayList<>();
--- a/node/src/test/java/org/plantainshunt/call/FakeVm.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeVm.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.plantainshunt.admission.FailureShedding;
+import org.plantainshunt.configuration.VmList;
 import org.plantainshunt.execution.TicketTable;
 import org.plantainshunt.membership.Membership;
 import org.plantainshunt.protocol.InnerConnection;
@@ -27,6 +28,7 @@
     EntrySide entry;
     ServingSide serving;
     private Membership membership;
+    private Connections pool;
 
     FakeVm(FakeFleet fleet, String name, String service) {
         this.fleet = fleet;
@@ -51,7 +53,7 @@
                 new Environment(task -> run(own, task), fleet::now, new SilentRecorder(), HopTracer.off(), contexts);
         membership = new Membership("one-1", dataCentre -> Optional.of("one"), any -> 4);
         TicketTable tickets = new TicketTable(name, incarnation, 1000, fleet.document.policy(), fleet.random());
-        Connections pool = new Connections(
+        pool = new Connections(
                 this::connect,
                 task -> run(own, task),
                 fleet::now,
@@ -77,6 +79,12 @@
         tick(own);
     }
 
+    /** Takes a VM list. */
+    void listed(VmList list) {
+        membership.vmList(list, fleet.now());
+        pool.retain(list.vms());
+    }
+
     /** Ends the process at once; what it knew is lost, and its connections break. */
     void kill() {
         fleet.log(name + " is killed");
--- /dev/null
+++ b/node/src/test/java/org/plantainshunt/call/UnlistedServerTest.java
@@ -0,0 +1,50 @@
+package org.plantainshunt.call;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+import org.plantainshunt.configuration.VmList;
+import org.plantainshunt.result.ResultCode;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class UnlistedServerTest {
+    private static final long LATEST_LIST = 1_000;
+
+    /** Guards against calls that are cut because their server vanishes from the VM list while it runs them. */
+    @Test
+    void runningCallIsAnsweredAlthoughItsServerIsNoLongerListed() throws Exception {
+        FakeFleet fleet = new FakeFleet(1);
+        FakeVm front = fleet.vms.get("front-1");
+        List<ResultCode> codes = new ArrayList<>();
+        front.entry.call(lookup(fleet), reply -> codes.add(reply.code()));
+        while (fleet.runs.isEmpty()) {
+            fleet.runUntil(fleet.now() + FakeFleet.MILLISECOND);
+        }
+        front.listed(new VmList(LATEST_LIST, List.of()));
+        fleet.runUntil(fleet.now() + 2_000 * FakeFleet.MILLISECOND);
+        assertEquals(List.of(ResultCode.ANSWERED), codes);
+    }
+
+    private static InboundCall lookup(FakeFleet fleet) {
+        return new InboundCall(
+                "deep",
+                "lookup",
+                "",
+                "POST",
+                List.of(),
+                "w".getBytes(StandardCharsets.UTF_8),
+                "w",
+                Optional.empty(),
+                OptionalLong.empty(),
+                1,
+                Optional.empty(),
+                "",
+                false,
+                fleet.now());
+    }
+}
