--- a/node/src/test/java/org/plantainshunt/call/CancelledCallTest.java
+++ b/node/src/test/java/org/plantainshunt/call/CancelledCallTest.java
@@ -1,10 +1,7 @@
 package org.plantainshunt.call;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 import org.plantainshunt.protocol.CancelHandle;
@@ -23,7 +20,7 @@
     void callCancelledBeforeItsConnectionOpensIsNeverSent() throws Exception {
         FakeFleet fleet = new FakeFleet(1);
         List<CallReply> replies = new ArrayList<>();
-        CancelHandle handle = fleet.vms.get("front-1").entry.call(lookup(fleet), replies::add);
+        CancelHandle handle = fleet.vms.get("front-1").entry.call(fleet.lookup(WORK), replies::add);
         handle.cancel();
         fleet.runUntil(2_000 * FakeFleet.MILLISECOND);
         assertEquals(
@@ -36,26 +33,8 @@
     @Test
     void callRunsOtherwise() throws Exception {
         FakeFleet fleet = new FakeFleet(1);
-        fleet.vms.get("front-1").entry.call(lookup(fleet), reply -> {});
+        fleet.vms.get("front-1").entry.call(fleet.lookup(WORK), reply -> {});
         fleet.runUntil(2_000 * FakeFleet.MILLISECOND);
         assertEquals(1, fleet.runs.get(WORK));
     }
-
-    private static InboundCall lookup(FakeFleet fleet) {
-        return new InboundCall(
-                "deep",
-                "lookup",
-                "",
-                "POST",
-                List.of(),
-                WORK.getBytes(StandardCharsets.UTF_8),
-                WORK,
-                Optional.empty(),
-                OptionalLong.empty(),
-                1,
-                Optional.empty(),
-                "",
-                false,
-                fleet.now());
-    }
 }
--- a/node/src/test/java/org/plantainshunt/call/FakeFleet.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeFleet.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -131,6 +133,25 @@
         runs.merge(work, 1, Integer::sum);
     }
 
+    /** Returns a call of the service deep with this work, which arrives now. */
+    InboundCall lookup(String work) {
+        return new InboundCall(
+                "deep",
+                "lookup",
+                "",
+                "POST",
+                List.of(),
+                work.getBytes(UTF_8),
+                work,
+                Optional.empty(),
+                OptionalLong.empty(),
+                1,
+                Optional.empty(),
+                "",
+                false,
+                now);
+    }
+
     void runUntil(long end) {
         while (!events.isEmpty() && events.peek().time <= end) {
             Event event = events.poll();
--- a/node/src/test/java/org/plantainshunt/call/UnlistedServerTest.java
+++ b/node/src/test/java/org/plantainshunt/call/UnlistedServerTest.java
@@ -1,10 +1,7 @@
 package org.plantainshunt.call;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 import org.plantainshunt.configuration.VmList;
@@ -21,7 +18,7 @@
         FakeFleet fleet = new FakeFleet(1);
         FakeVm front = fleet.vms.get("front-1");
         List<ResultCode> codes = new ArrayList<>();
-        front.entry.call(lookup(fleet), reply -> codes.add(reply.code()));
+        front.entry.call(fleet.lookup("w"), reply -> codes.add(reply.code()));
         while (fleet.runs.isEmpty()) {
             fleet.runUntil(fleet.now() + FakeFleet.MILLISECOND);
         }
@@ -29,22 +26,4 @@
         fleet.runUntil(fleet.now() + 2_000 * FakeFleet.MILLISECOND);
         assertEquals(List.of(ResultCode.ANSWERED), codes);
     }
-
-    private static InboundCall lookup(FakeFleet fleet) {
-        return new InboundCall(
-                "deep",
-                "lookup",
-                "",
-                "POST",
-                List.of(),
-                "w".getBytes(StandardCharsets.UTF_8),
-                "w",
-                Optional.empty(),
-                OptionalLong.empty(),
-                1,
-                Optional.empty(),
-                "",
-                false,
-                fleet.now());
-    }
 }
