Let few nodes read the platform's store, and the others rely on them

Change: the nodes of a region rank its VMs by a hash; the first max(2, sqrt(n)/2) read the store, every other node asks two of them in turn for their contact with it, and reads itself when no current report has come for 1.5 s plus jitter. A node that is asked reads as long as it is asked, so the ranking needs no agreement. Readers tell their followers of a new document at once; the gossip between all nodes stays. The messages are announcements of a document kind of their own, which older nodes ignore. Weighed: longer watches and grouped changes alone (calls still grow with the fleet); a reader for each data centre by election (needs agreement); random pushes of freshness (age spreads over 6 s at 98 nodes). Result: StoreReadersTest (up to 230 nodes of a region with readers dead, frozen or cut; 1,600 nodes below the store's rate), FleetControlTest, VmRegistryTest, PlatformSettingsTest pass. Ruled out: none.

--- a/core/src/main/java/org/plantainshunt/membership/VmRegistry.java
+++ b/core/src/main/java/org/plantainshunt/membership/VmRegistry.java
@@ -89,6 +89,18 @@
         revision = Math.max(revision, atRevision);
     }
 
+    /**
+     * Replaces all registrations with those of another node's list, so that the next complete read is compared with
+     * what the fleet knew; VMs without an instance are left out.
+     */
+    public void adopt(VmList list) {
+        registrations.clear();
+        for (Vm vm : list.vms()) {
+            vm.instance().ifPresent(id -> registrations.put(id, new Registration(vm, 0)));
+        }
+        expiryOfMissing.keySet().retainAll(registrations.keySet());
+    }
+
     /** Adds or changes a registration. */
     public void put(String id, Registration registration, long atRevision) {
         registrations.put(id, registration);
--- /dev/null
+++ b/core/src/test/java/org/plantainshunt/membership/StoreReadersModel.java
@@ -0,0 +1,175 @@
+package org.plantainshunt.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.plantainshunt.membership.StoreReaders.Contact;
+
+/** Simulates the nodes of one region that ask each other for their contact with the store, on a virtual clock. */
+final class StoreReadersModel {
+    static final int DEAD = 0;
+    static final int FROZEN = 1;
+    static final int CUT_FROM_STORE = 2;
+
+    private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long TICK = 100 * MILLISECOND;
+    private static final long READ_TIME = 10 * MILLISECOND;
+
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<String, Node> byName = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Random random;
+    private long scheduled;
+    private long now;
+    private long longestUninformed;
+    private final Map<Long, Integer> newReadersBySecond = new HashMap<>();
+
+    StoreReadersModel(int size, long seed) {
+        random = new Random(seed);
+        List<String> names =
+                IntStream.range(0, size).mapToObj(index -> "vm-" + index).toList();
+        for (String name : names) {
+            Node node = new Node(name, new StoreReaders(name, new Random(seed + nodes.size())));
+            node.readers.region(names);
+            nodes.add(node);
+            byName.put(name, node);
+            after((long) (random.nextDouble() * TICK), node::tick);
+        }
+    }
+
+    void run(double seconds) {
+        long end = now + (long) (seconds * SECOND);
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event event = events.poll();
+            now = event.at;
+            event.action.run();
+        }
+        now = end;
+    }
+
+    void fail(int node, int fault) {
+        nodes.get(node).fault = Optional.of(fault);
+    }
+
+    /** Lets a fault happen to each node that reads the store, with a probability. */
+    void failReaders(double share, int fault) {
+        for (Node node : nodes) {
+            if (node.reading && random.nextDouble() < share) {
+                node.fault = Optional.of(fault);
+            }
+        }
+    }
+
+    void recoverAll() {
+        nodes.forEach(node -> node.fault = Optional.empty());
+    }
+
+    void resetMeasurement() {
+        longestUninformed = 0;
+        newReadersBySecond.clear();
+    }
+
+    long readingNodes() {
+        return nodes.stream().filter(node -> node.reading).count();
+    }
+
+    /** Returns the longest time in which a working node neither read the store nor had a source that did. */
+    double uninformedSeconds() {
+        return longestUninformed / (double) SECOND;
+    }
+
+    int mostNewReadersInOneSecond() {
+        return newReadersBySecond.values().stream()
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(0);
+    }
+
+    private void after(long delay, Runnable action) {
+        events.add(new Event(now + delay, scheduled++, action));
+    }
+
+    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final class Node {
+        private final String name;
+        private final StoreReaders readers;
+        private Optional<Integer> fault = Optional.empty();
+        private boolean reading;
+        private long readingSince;
+        private long informedAt;
+
+        Node(String name, StoreReaders readers) {
+            this.name = name;
+            this.readers = readers;
+        }
+
+        private boolean works() {
+            return fault.isEmpty() || fault.get() == CUT_FROM_STORE;
+        }
+
+        private void tick() {
+            after(TICK, this::tick);
+            if (!works()) {
+                reading = false;
+                informedAt = now;
+                return;
+            }
+            boolean reads = readers.reads(now);
+            if (reads && !reading) {
+                readingSince = now;
+                newReadersBySecond.merge(now / SECOND, 1, Integer::sum);
+            }
+            reading = reads;
+            readers.nextRequest(now).ifPresent(source -> send(byName.get(source), this::receiveRequest));
+            if (fault.isPresent() || isInformed()) {
+                informedAt = now;
+            }
+            longestUninformed = Math.max(longestUninformed, now - informedAt);
+        }
+
+        private boolean isInformed() {
+            return hasContact()
+                    || readers.sources(now).stream().map(byName::get).anyMatch(Node::hasContact);
+        }
+
+        private boolean hasContact() {
+            return fault.isEmpty() && reading && now - readingSince >= READ_TIME;
+        }
+
+        private void receiveRequest(Node from, Node self) {
+            self.readers.requested(from.name, now);
+            if (self.reading && now - self.readingSince >= READ_TIME) {
+                Contact contact = self.fault.isEmpty() ? Contact.CURRENT : Contact.LOST;
+                self.send(from, (sender, receiver) -> receiver.readers.reported(sender.name, contact, now));
+            }
+        }
+
+        /** Delivers a message after 0.5 to 5 ms if both nodes work then. */
+        private void send(Node to, Message message) {
+            after((long) (MILLISECOND * (0.5 + 4.5 * random.nextDouble())), () -> {
+                if (works() && to.works()) {
+                    message.deliver(this, to);
+                }
+            });
+        }
+    }
+
+    private interface Message {
+        void deliver(Node from, Node to);
+    }
+}
--- a/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
+++ b/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
@@ -57,6 +57,31 @@
         assertEquals(List.of(), instances());
     }
 
+    /**
+     * Guards against a node that reads the store for the first time after an outage, although its peers know the
+     * backend servers.
+     */
+    @Test
+    void registrationsThatOnlyPeersKnewMayBeRenewedToo() {
+        registry.storeDisconnected();
+        registry.adopt(new VmList(
+                21, List.of(at("10.0.0.1", "a", 1).vm(), at("10.0.0.2", "b", 1).vm())));
+        registry.storeReconnected(START);
+        registry.replace(Map.of("b", at("10.0.0.2", "b", 1)), 14, START);
+        assertEquals(List.of("a", "b"), instances());
+        registry.expire(START + VmRegistry.RENEWAL_TIME);
+        assertEquals(List.of("b"), instances());
+    }
+
+    /** Guards against using a server again that left while this node relied on others. */
+    @Test
+    void adoptedListReplacesWhatTheNodeKnewBefore() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.adopt(new VmList(31, List.of(at("10.0.0.2", "b", 1).vm())));
+        registry.replace(Map.of("b", at("10.0.0.2", "b", 1)), 16, START + SECOND);
+        assertEquals(List.of("b"), instances());
+    }
+
     /** Guards against a list that peers ignore because the store's revision did not change when the time expired. */
     @Test
     void listWithoutKeptRegistrationsIsNewerThanOneWithThem() {
--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -19,6 +21,7 @@
 import org.plantainshunt.configuration.VmList;
 import org.plantainshunt.duty.TaskRunner;
 import org.plantainshunt.membership.DocumentGossip;
+import org.plantainshunt.membership.StoreReaders.Contact;
 import org.plantainshunt.protocol.Announcement;
 import org.plantainshunt.protocol.DocumentMessage;
 import org.plantainshunt.protocol.InnerConnection;
@@ -40,6 +43,8 @@
     private static final long MAX_FIRST_WATCH_DELAY = TimeUnit.MILLISECONDS.toNanos(300);
     /** The delay after a failed watch request; half of it is random, so that nodes don't reconnect simultaneously. */
     private static final long WATCH_RETRY_DELAY = TimeUnit.MILLISECONDS.toNanos(500);
+    /** How often the delay after a failed watch request doubles at a node on which no other node relies. */
+    private static final int MAX_RETRY_DOUBLINGS = 2;
     /** The delay after a change. Changes come in groups, and reading the platform once for each would be costly. */
     private static final long CHANGE_BATCH_DELAY = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -53,6 +58,7 @@
     private final DocumentFormats formats;
     private final Map<DocumentKind, DocumentState> states = new EnumMap<>(DocumentKind.class);
     private final List<InetSocketAddress> seeds;
+    private final StoreContacts contacts;
     private final long startedAt;
     private List<String> otherNodes = List.of();
     private TaskRunner taskRunner;
@@ -60,24 +66,27 @@
     private boolean seedAnswered;
     private boolean applied;
     private long nextExchange;
+    private volatile StoreAccess storeAccess = new StoreAccess(true, List.of(), List.of());
     private volatile long documentNumber;
     private volatile boolean hasVmList;
 
     /** Creates an instance; {@link #runOn} must be called before any other method. */
     public FleetControl(
             String ownVm,
+            String ownDataCentre,
             List<InetSocketAddress> seeds,
             Platform platform,
             Peers peers,
             Listener listener,
             LongSupplier clock,
             RandomGenerator random) {
-        this(ownVm, seeds, platform, peers, listener, clock, random, DocumentFormats.INI);
+        this(ownVm, ownDataCentre, seeds, platform, peers, listener, clock, random, DocumentFormats.INI);
     }
 
     /** Creates an instance for documents of these formats; {@link #runOn} must be called before any other method. */
     public FleetControl(
             String ownVm,
+            String ownDataCentre,
             List<InetSocketAddress> seeds,
             Platform platform,
             Peers peers,
@@ -95,6 +104,7 @@
         this.clock = clock;
         this.random = random;
         this.startedAt = clock.getAsLong();
+        this.contacts = new StoreContacts(ownVm, ownDataCentre, random, this::storeContact, this::send);
         for (DocumentKind kind : DocumentKind.values()) {
             states.put(kind, new DocumentState(new DocumentGossip(random), firstPollTime()));
         }
@@ -120,9 +130,18 @@
         return configuration;
     }
 
+    /** Returns how this node learns of changes in the platform's store; safe for use by any thread. */
+    public StoreAccess storeAccess() {
+        return storeAccess;
+    }
+
     /** Polls the platform, exchanges versions with peers and, during startup, requests documents from the seeds. */
     public void tick() {
         long now = clock.getAsLong();
+        if (platform.waitsForChange()) {
+            contacts.tick(now);
+            logStoreAccess(new StoreAccess(contacts.reads(now), contacts.sources(now), contacts.followers(now)));
+        }
         states.forEach((kind, state) -> pollWhenDue(kind, state, now));
         if (now >= nextExchange) {
             nextExchange = now + EXCHANGE_INTERVAL;
@@ -133,6 +152,10 @@
 
     /** Handles a peer's announcement; safe for use by any thread. */
     public void announced(InnerConnection from, Announcement announcement) {
+        if (announcement.documentKind().equals(StoreContacts.KIND)) {
+            taskRunner.offer(() -> contacts.received(from, announcement, clock.getAsLong()));
+            return;
+        }
         taskRunner.offer(() -> DocumentKind.ofLabel(announcement.documentKind())
                 .ifPresent(kind -> handleAnnouncement(
                         from, kind, new DocumentVersion(announcement.number(), announcement.digest()))));
@@ -174,12 +197,18 @@
         if (now < state.nextPoll || state.polling) {
             return;
         }
+        if (platform.waitsForChange() && !contacts.reads(now)) {
+            state.contact = Optional.empty();
+            state.failuresInARow = 0;
+            return;
+        }
         state.polling = true;
         platform.read(kind.label(), state.entityTag, answer -> taskRunner.submit(() -> polled(kind, state, answer)));
     }
 
     private void polled(DocumentKind kind, DocumentState state, Platform.Answer answer) {
         state.polling = false;
+        state.recordResult(answer.state());
         state.nextPoll = clock.getAsLong() + nextPollDelay(state, answer.state());
         state.logReachability(kind, answer.state() != Platform.State.FAILED, answer.detail());
         if (answer.state() == Platform.State.NEW_DOCUMENT) {
@@ -198,7 +227,8 @@
         }
         switch (result) {
             case FAILED:
-                return WATCH_RETRY_DELAY / 2 + random.nextLong(WATCH_RETRY_DELAY / 2);
+                long delay = watchRetryDelay(state);
+                return delay / 2 + random.nextLong(delay / 2);
             case NEW_DOCUMENT:
                 return CHANGE_BATCH_DELAY / 2 + random.nextLong(CHANGE_BATCH_DELAY / 2);
             default:
@@ -206,6 +236,34 @@
         }
     }
 
+    private long watchRetryDelay(DocumentState state) {
+        if (contacts.isRelevantReader(clock.getAsLong())) {
+            return WATCH_RETRY_DELAY;
+        }
+        int doublings = Math.min(state.failuresInARow - 1, MAX_RETRY_DOUBLINGS);
+        return WATCH_RETRY_DELAY << doublings;
+    }
+
+    private Optional<Contact> storeContact() {
+        boolean lost = states.values().stream().anyMatch(state -> state.contact.equals(Optional.of(Contact.LOST)));
+        if (lost) {
+            return Optional.of(Contact.LOST);
+        }
+        boolean current = states.values().stream().allMatch(state -> state.contact.isPresent());
+        return current ? Optional.of(Contact.CURRENT) : Optional.empty();
+    }
+
+    private void logStoreAccess(StoreAccess access) {
+        if (access.reads() != storeAccess.reads()) {
+            LOGGER.info(
+                    access.reads()
+                            ? "reads the store itself; nodes that rely on this one: {}"
+                            : "relies on the nodes {} for changes in the store",
+                    access.reads() ? access.followers() : access.sources());
+        }
+        storeAccess = access;
+    }
+
     private void offer(DocumentKind kind, byte[] bytes, String source) {
         Optional<DocumentVersion> accepted =
                 kind == DocumentKind.CONFIGURATION ? offerConfiguration(bytes, source) : offerVmList(bytes, source);
@@ -221,9 +279,10 @@
         }
         DocumentVersion version = accepted.get();
         LOGGER.info("accepted {} {} from {}", kind.label(), version, source);
-        for (String name : state.gossip.accepted(version, otherNodes)) {
-            announce(name, kind, version);
-        }
+        Set<String> recipients = new LinkedHashSet<>(contacts.followers(clock.getAsLong()));
+        recipients.addAll(state.gossip.accepted(version, otherNodes));
+        recipients.forEach(name -> announce(name, kind, version));
+        configuration.current().ifPresent(document -> vmList.ifPresent(list -> contacts.update(document, list)));
         applyWhenReady(clock.getAsLong());
     }
 
@@ -294,7 +353,10 @@
     }
 
     private void announce(String name, DocumentKind kind, DocumentVersion version) {
-        Announcement announcement = new Announcement(kind.label(), version.number(), version.digest());
+        send(name, new Announcement(kind.label(), version.number(), version.digest()));
+    }
+
+    private void send(String name, Announcement announcement) {
         vm(name).ifPresent(vm -> peers.withConnection(vm, connection -> connection.announce(announcement)));
     }
 
@@ -333,6 +395,9 @@
             // A VM list does not show whether the platform's configuration is stale.
             seedAnswered |= kind == DocumentKind.CONFIGURATION;
             offer(kind, bytes, from.peerVm());
+            if (kind == DocumentKind.VM_LIST) {
+                vmList.ifPresent(platform::learned);
+            }
         } catch (IOException e) {
             LOGGER.warn("node {} sent a document that cannot be decompressed: {}", from.peerVm(), e.getMessage());
         }
@@ -356,6 +421,15 @@
         void vmList(VmList list);
     }
 
+    /**
+     * How a node learns of changes in the platform's store.
+     *
+     * @param reads whether it reads the store itself
+     * @param sources the nodes that it asks for their contact with the store
+     * @param followers the nodes that rely on it
+     */
+    public record StoreAccess(boolean reads, List<String> sources, List<String> followers) {}
+
     /** The state of one kind of document. */
     private static final class DocumentState {
         private static final long REQUEST_INTERVAL = TimeUnit.SECONDS.toNanos(1);
@@ -365,6 +439,8 @@
         private byte[] compressed = {};
         private boolean polling;
         private boolean unreachable;
+        private Optional<Contact> contact = Optional.empty();
+        private int failuresInARow;
         private long nextPoll;
         private long requestedAt = Long.MIN_VALUE / 2;
 
@@ -373,6 +449,12 @@
             this.nextPoll = nextPoll;
         }
 
+        void recordResult(Platform.State result) {
+            boolean failed = result == Platform.State.FAILED;
+            contact = Optional.of(failed ? Contact.LOST : Contact.CURRENT);
+            failuresInARow = failed ? failuresInARow + 1 : 0;
+        }
+
         /** Limits the rate of requests that are caused by the version number of a call. */
         boolean tryRequest(long now) {
             if (now - requestedAt < REQUEST_INTERVAL) {
--- a/node/src/main/java/org/plantainshunt/control/Platform.java
+++ b/node/src/main/java/org/plantainshunt/control/Platform.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.plantainshunt.configuration.VmList;
+
 /** Reads the platform's configuration service without blocking. Implementations are safe for use by any thread. */
 public interface Platform extends AutoCloseable {
     /**
@@ -19,6 +21,9 @@
         return false;
     }
 
+    /** Reports a VM list that another node sent and that is now in force; called on the control thread. */
+    default void learned(VmList list) {}
+
     @Override
     default void close() {}
 
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -109,6 +109,7 @@
         healthSource = components.health(admin);
         control = new FleetControl(
                 settings.name(),
+                settings.dataCentre(),
                 settings.seeds(),
                 platform,
                 new PeerConnections(),
@@ -314,6 +315,8 @@
         gauge("control.bytes-sent", inner::controlBytesSent);
         gauge("control.bytes-received", inner::controlBytesReceived);
         gauge("configuration.number", control::documentNumber);
+        gauge("control.reads-store", () -> control.storeAccess().reads() ? 1 : 0);
+        gauge("control.followers", () -> control.storeAccess().followers().size());
         gauge("memory.heap-bytes", () -> {
             Runtime runtime = Runtime.getRuntime();
             return runtime.totalMemory() - runtime.freeMemory();
--- a/node/src/main/java/org/plantainshunt/node/StatusReport.java
+++ b/node/src/main/java/org/plantainshunt/node/StatusReport.java
@@ -14,6 +14,7 @@
 import org.plantainshunt.configuration.AcceptedDocument;
 import org.plantainshunt.configuration.Document;
 import org.plantainshunt.configuration.DocumentVersion;
+import org.plantainshunt.control.FleetControl;
 
 /** Describes the state of a node as JSON, for the command line tool. Thread-safe. */
 final class StatusReport {
@@ -39,6 +40,7 @@
         tree.put("ready", node.ready());
         tree.put("backendServer", node.backendServerHealth());
         describe(tree.putObject("configuration"), node.control().configuration());
+        describe(tree.putObject("store"), node.control().storeAccess());
         tree.put("running", snapshot.running());
         tree.put("waiting", snapshot.waiting());
         tree.put("limit", snapshot.limit());
@@ -59,6 +61,12 @@
         return tree;
     }
 
+    private static void describe(ObjectNode tree, FleetControl.StoreAccess access) {
+        tree.put("reads", access.reads());
+        access.sources().forEach(tree.putArray("sources")::add);
+        access.followers().forEach(tree.putArray("followers")::add);
+    }
+
     private static void describe(ObjectNode tree, AcceptedDocument configuration) {
         // Read once: if another document became active between two reads, number and digest would not match.
         Optional<DocumentVersion> version = configuration.current().map(Document::version);
--- a/node/src/test/java/org/plantainshunt/control/FleetControlTest.java
+++ b/node/src/test/java/org/plantainshunt/control/FleetControlTest.java
@@ -35,6 +35,9 @@
     private final FakePeer seed = new FakePeer("vm-2");
     private final List<Long> applied = new ArrayList<>();
     private final List<Long> lists = new ArrayList<>();
+    /** Answers of reads that wait for a change; delivered at the next tick. */
+    private final List<Runnable> pending = new ArrayList<>();
+
     private int reads;
     private long now;
 
@@ -175,15 +178,98 @@
         assertTrue(reads >= 30 && reads <= 50, reads + " reads in 20 s");
     }
 
+    /** Guards against a load on the store that grows with the fleet. */
+    @Test
+    void nodeWithCurrentSourcesDoesNotReadTheStore() throws Exception {
+        FleetControl control = watchingControl(false);
+        run(control, 2_000);
+        answerRequests(control, StoreContacts.CURRENT);
+        int before = reads;
+        for (int second = 0; second < 10; second++) {
+            run(control, 500);
+            answerRequests(control, StoreContacts.CURRENT);
+        }
+        assertEquals(before, reads, "reads of the store");
+        assertFalse(control.storeAccess().reads());
+        assertEquals(2, control.storeAccess().sources().size());
+        run(control, 2_500);
+        assertTrue(reads > before, "the store is not read although no source replies");
+    }
+
+    /** Guards against a reader that reports a contact before it has one, and against followers that learn late. */
+    @Test
+    void readerReportsItsContactAndTellsItsFollowersAtOnce() throws Exception {
+        FakePeer follower = new FakePeer("vm-40");
+        Announcement request = new Announcement(StoreContacts.KIND, StoreContacts.REQUEST, "");
+        watchingControl("vm-1").announced(follower, request);
+        assertEquals(List.of(), follower.announced());
+        FleetControl control = watchingControl(true);
+        run(control, 2_000);
+        control.announced(follower, request);
+        assertEquals(StoreContacts.CURRENT, follower.announced().get(0).number());
+        platform.put(CONFIGURATION, document(5));
+        run(control, 1_000);
+        assertTrue(peers.get("vm-40").announced().stream().anyMatch(announcement -> announcement.number() == 5));
+        platform.clear();
+        run(control, 2_000);
+        control.announced(follower, request);
+        assertEquals(StoreContacts.LOST, follower.announced().get(1).number());
+    }
+
+    /** Returns the control of a node with 40 peers in its region that is, or is not, a reader by rank. */
+    private FleetControl watchingControl(boolean readerByRank) {
+        platform.put(CONFIGURATION, document(4));
+        platform.put(VM_LIST, answer(list(1, 40)));
+        for (int index = 1; index <= 40; index++) {
+            FleetControl control = watchingControl("vm-" + index);
+            run(control, 1_000);
+            peers.clear();
+            if (control.storeAccess().sources().isEmpty() == readerByRank) {
+                run(control, 1_000);
+                return control;
+            }
+            pending.clear();
+        }
+        throw new AssertionError("no such node");
+    }
+
+    private FleetControl watchingControl(String vm) {
+        FleetControl control = new FleetControl(
+                vm,
+                "one-1",
+                List.of(),
+                new WatchedPlatform(),
+                new FakePeers(),
+                new RecordingListener(),
+                () -> now,
+                new Random(1));
+        control.runOn(Runnable::run);
+        return control;
+    }
+
+    /** Replies to the node's requests for a contact with the store. */
+    private void answerRequests(FleetControl control, long contact) {
+        for (FakePeer peer : List.copyOf(peers.values())) {
+            boolean asked = peer.announced()
+                    .removeIf(announcement -> announcement.documentKind().equals(StoreContacts.KIND));
+            if (asked) {
+                control.announced(peer, new Announcement(StoreContacts.KIND, contact, ""));
+            }
+        }
+    }
+
     private FleetControl control(List<InetSocketAddress> seeds) {
         FleetControl control = new FleetControl(
-                "vm-1", seeds, this::read, new FakePeers(), new RecordingListener(), () -> now, new Random(1));
+                "vm-1", "one-1", seeds, this::read, new FakePeers(), new RecordingListener(), () -> now, new Random(1));
         control.runOn(Runnable::run);
         return control;
     }
 
     private void run(FleetControl control, long milliseconds) {
         for (long end = now + milliseconds * MILLISECOND; now < end; now += 100 * MILLISECOND) {
+            List<Runnable> due = List.copyOf(pending);
+            pending.clear();
+            due.forEach(Runnable::run);
             control.tick();
         }
         control.tick();
@@ -200,8 +286,12 @@
     }
 
     private static String list(long revision) {
+        return list(revision, 4);
+    }
+
+    private static String list(long revision, int vms) {
         StringBuilder text = new StringBuilder("[vm-list]\nrevision = " + revision + "\n");
-        for (int i = 1; i <= 4; i++) {
+        for (int i = 1; i <= vms; i++) {
             text.append("\n[vm vm-").append(i).append("]\nservice = front\ndata-centre = one-1\n");
             text.append("address = 127.0.0.1\nstate = live\ninner-port = ")
                     .append(7000 + i)
@@ -223,6 +313,27 @@
         return new DocumentMessage(kind, 1, "00", Compression.compress(text.getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** A platform whose reads wait for a change; here they return at once if there is none. */
+    private final class WatchedPlatform implements Platform {
+        private final Map<String, Platform.Answer> sent = new HashMap<>();
+
+        @Override
+        public boolean waitsForChange() {
+            return true;
+        }
+
+        @Override
+        public void read(String name, Optional<String> entityTag, Consumer<Answer> listener) {
+            reads++;
+            Answer answer = platform.getOrDefault(name, Answer.without(State.FAILED, "down"));
+            if (answer.equals(sent.put(name, answer)) && answer.state() != State.FAILED) {
+                pending.add(() -> listener.accept(Answer.without(State.NOT_MODIFIED, "")));
+                return;
+            }
+            listener.accept(answer);
+        }
+    }
+
     private final class FakePeers implements FleetControl.Peers {
         @Override
         public void withConnection(Vm vm, Consumer<InnerConnection> action) {
