Place calls in their own data centre at any fleet size

Cause: two random servers of the region were compared, so that with 38 servers in eight data centres 44 % of the calls stayed in their data centre although it had room (model: 98 entry nodes, 50 % load). A node that makes one call in a hundred cannot see a server's load from its own calls either. Change: the best of two random servers of the own data centre is compared with the best of two of the region's others. A call also leaves if the server reported that 85 % of its slots are taken, the other reported less, and this node's own calls, if they are few, don't speak against it. With two candidates the choice is as before. Ruled out, in trials: the reported load in place of the own calls (with reports 5 s late, p99 with a slowed server rose 12 times, bound 1.5), and reports without regard to the own calls (5.4 times, 64 nodes of 12 slots). BackendServerChoiceTest unchanged and green.

--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -15,9 +15,10 @@
 /**
  * Chooses the backend server for a call.
  *
- * <p>Two random servers of this region are compared by this node's outstanding calls and their distance; a share of the
- * calls leaves the region while its servers are overloaded. Comparing only two bounds the share of a server that looks
- * idle to all nodes at once. A server that is much slower than its peers receives only trial calls, and the share of a
+ * <p>Two random servers of this data centre and two of the others in this region are compared by their load and distance;
+ * a share of the calls leaves the region while its servers are overloaded. Comparing only a few bounds the share of a
+ * server that looks idle to all nodes at once. In a large fleet this node has too few calls at a server to know its load
+ * from them, so calls also leave the data centre if its server reported that it is crowded and another is not. A server that is much slower than its peers receives only trial calls, and the share of a
  * server that has just started ramps up. Confined to one thread.
  */
 public final class BackendServerChoice {
@@ -52,6 +53,18 @@
      */
     private static final double OTHER_DATA_CENTRE_PENALTY = 0.05;
 
+    /** The share of its slots from which a server is crowded: calls are about to wait there. */
+    private static final double CROWDED = 0.85;
+
+    /** This node's share of a server's calls from which its own calls show the load. */
+    private static final double TELLING_SHARE = 0.1;
+
+    /** The number of random servers that are compared within a data centre, and of other data centres. */
+    private static final int COMPARED = 2;
+
+    /** By how much less another server must be used, as a share of its slots, to be better than a crowded one. */
+    private static final double LESS_CROWDED = 0.1;
+
     /**
      * The spillover wait multiple until a policy is in force; skewed service times alone may cause waiting times up to
      * this multiple of the lowest latency.
@@ -202,16 +215,16 @@
     private Upstream chooseRegular(List<Upstream> permitted, long now) {
         List<Upstream> notSlow = without(permitted, candidate -> candidate.slow());
         if (notSlow.isEmpty()) {
-            return bestOfTwo(permitted, now);
+            return best(permitted, now);
         }
         List<Upstream> near = without(notSlow, BackendServerChoice::isFar);
         List<Upstream> far = without(notSlow, candidate -> !isFar(candidate));
         if (near.isEmpty() || far.isEmpty()) {
-            return bestOfTwo(near.isEmpty() ? far : near, now);
+            return best(near.isEmpty() ? far : near, now);
         }
         Spillover spillover = spillovers.computeIfAbsent(near.get(0).vm().service(), service -> new Spillover());
         boolean spillsOver = random.nextDouble() < spillover.share(near, far, spilloverWaitMultiple, now);
-        return bestOfTwo(spillsOver ? far : near, now);
+        return best(spillsOver ? far : near, now);
     }
 
     private static List<Upstream> without(List<Upstream> all, Predicate<Upstream> unwanted) {
@@ -220,7 +233,37 @@
         return rest;
     }
 
-    private Upstream bestOfTwo(List<Upstream> candidates, long now) {
+    /** Returns the best of two random servers of this data centre and two random ones of others. */
+    private Upstream best(List<Upstream> candidates, long now) {
+        long reference = referenceLatency(candidates);
+        List<Upstream> local = without(candidates, candidate -> !isLocal(candidate));
+        boolean allCompared = candidates.size() <= COMPARED;
+        if (allCompared || local.isEmpty() || local.size() == candidates.size()) {
+            return bestOfTwo(candidates, reference, now);
+        }
+        Upstream inside = bestOfTwo(local, reference, now);
+        Upstream outside = bestOfTwo(without(candidates, BackendServerChoice::isLocal), reference, now);
+        boolean better = cost(outside, reference, now) < cost(inside, reference, now);
+        return better || relievesCrowding(inside, outside, now) ? outside : inside;
+    }
+
+    /**
+     * Returns whether the reports speak for another server and this node's own calls don't speak against it. A node
+     * with a good part of the calls at a server knows more from them than from a report.
+     */
+    private static boolean relievesCrowding(Upstream crowded, Upstream other, long now) {
+        if (crowded.ownShareOfReported() >= TELLING_SHARE || other.load(now) > crowded.load(now)) {
+            return false;
+        }
+        double utilisation = crowded.reportedUtilisation(now);
+        return utilisation >= CROWDED && other.reportedUtilisation(now) < utilisation - LESS_CROWDED;
+    }
+
+    private static boolean isLocal(Upstream candidate) {
+        return candidate.distance() == Distance.SAME_DATA_CENTRE;
+    }
+
+    private Upstream bestOfTwo(List<Upstream> candidates, long reference, long now) {
         int size = candidates.size();
         if (size == 1) {
             return candidates.get(0);
@@ -229,7 +272,6 @@
         int second = (first + 1 + random.nextInt(size - 1)) % size;
         Upstream one = candidates.get(first);
         Upstream other = candidates.get(second);
-        long reference = referenceLatency(candidates);
         return cost(other, reference, now) < cost(one, reference, now) ? other : one;
     }
 
--- a/core/src/main/java/org/plantainshunt/routing/Upstream.java
+++ b/core/src/main/java/org/plantainshunt/routing/Upstream.java
@@ -37,6 +37,9 @@
     /** The time in which the lowest typical latency doubles unless it is observed again, in nanoseconds. */
     private static final double LOWEST_DOUBLES_IN = TimeUnit.MINUTES.toNanos(1);
 
+    /** The half-life of the load that a server reported, in nanoseconds. */
+    private static final double REPORT_HALF_LIFE = TimeUnit.SECONDS.toNanos(1);
+
     /** The half-life of refused and failed calls in the load estimate, in nanoseconds. */
     private static final double UNSERVED_HALF_LIFE = TimeUnit.SECONDS.toNanos(1);
 
@@ -89,6 +92,7 @@
     private long lateAfter = Long.MAX_VALUE;
     private int reportedInFlight;
     private int reportedQueued;
+    private long reportedAt = NEVER;
     private long refusedAt = NEVER;
 
     /**
@@ -210,8 +214,6 @@
     /**
      * Records the load that the serving node reports with an answer or a refusal.
      *
-     * <p>It is kept for the status page only, since a report may be seconds old; routing uses this node's observations.
-     *
      * @param inFlight the calls that run at the backend server, of all nodes
      * @param queued the calls that wait at the serving node
      * @param now the time in nanoseconds
@@ -219,6 +221,7 @@
     public void reported(int inFlight, int queued, long now) {
         reportedInFlight = inFlight;
         reportedQueued = queued;
+        reportedAt = now;
     }
 
     /**
@@ -298,6 +301,20 @@
         return outstanding.size() + unserved(now);
     }
 
+    /**
+     * Returns the share of the slots that the calls of all nodes took at the last report, 0 or more; it decays with the
+     * age of the report.
+     */
+    double reportedUtilisation(long now) {
+        double calls = (reportedInFlight + reportedQueued) * halfLifeDecay(now - reportedAt, REPORT_HALF_LIFE);
+        return calls / Math.max(1, slots);
+    }
+
+    /** Returns the outstanding calls of this node as a share of the calls of all nodes at the last report. */
+    double ownShareOfReported() {
+        return (double) outstanding.size() / Math.max(1, reportedInFlight + reportedQueued);
+    }
+
     /** Sets the time after which a call counts as late, in nanoseconds. */
     void lateAfter(long nanoseconds) {
         lateAfter = nanoseconds;
--- a/core/src/test/java/org/plantainshunt/routing/RoutingModel.java
+++ b/core/src/test/java/org/plantainshunt/routing/RoutingModel.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -16,7 +17,7 @@
 import org.plantainshunt.configuration.PriorityClass;
 import org.plantainshunt.configuration.Vm;
 
-/** Simulates entry nodes that send calls to four backend servers with slots and a queue, on a virtual clock. */
+/** Simulates entry nodes that send calls to backend servers with slots and a queue, on a virtual clock. */
 final class RoutingModel {
     static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
     static final long SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -29,11 +30,49 @@
         Upstream choose(List<Upstream> upstreams, long now);
     }
 
-    /** The parameters: the slow-down factor of the first server from 10 s on, and a row of distances for each node. */
-    record Scenario(int nodes, int slots, double utilisation, double slowdown, Distance[][] distances) {
+    /**
+     * The parameters of a simulation.
+     *
+     * @param slowdown the slow-down factor of the first server from 10 s on
+     * @param distances a row for each data centre with the distance of each server; nodes take the rows in turn
+     * @param meanService the mean time of a call at a server, in nanoseconds
+     * @param reportDelay how long after an answer its load report arrives, in nanoseconds
+     * @param crowding the share of the calls that enter in the first data centre, besides its usual share
+     */
+    record Scenario(
+            int nodes,
+            int slots,
+            double utilisation,
+            double slowdown,
+            Distance[][] distances,
+            long meanService,
+            long reportDelay,
+            double crowding) {
+        Scenario(int nodes, int slots, double utilisation, double slowdown, Distance[][] distances) {
+            this(nodes, slots, utilisation, slowdown, distances, MEAN_SERVICE, REPORT_DELAY, 0);
+        }
+
         Scenario slowed(double factor) {
-            return new Scenario(nodes, slots, utilisation, factor, distances);
+            return new Scenario(nodes, slots, utilisation, factor, distances, meanService, reportDelay, crowding);
+        }
+
+        int servers() {
+            return distances[0].length;
+        }
+    }
+
+    /** Returns the distances if the data centres, half of them in each of two regions, have servers in turn. */
+    static Distance[][] twoRegions(int dataCentres, int servers) {
+        Distance[][] rows = new Distance[dataCentres][servers];
+        for (int row = 0; row < dataCentres; row++) {
+            for (int server = 0; server < servers; server++) {
+                int other = server % dataCentres;
+                boolean sameRegion = row * 2 / dataCentres == other * 2 / dataCentres;
+                Distance outside = sameRegion ? Distance.SAME_REGION : Distance.OTHER_REGION;
+                rows[row][server] = row == other ? Distance.SAME_DATA_CENTRE : outside;
+            }
         }
+        return rows;
     }
 
     /** Returns the distances of nodes in each of four data centres, of which two and two form a region. */
@@ -54,7 +93,9 @@
     }
 
     final Histogram latencies = new Histogram(TimeUnit.MINUTES.toNanos(2), 3);
-    final long[] served = new long[SERVERS];
+    final long[] served;
+    /** The calls by the distance of the server that answered them. */
+    final long[] servedAtDistance = new long[Distance.values().length];
 
     private final Random random;
     private final Scenario scenario;
@@ -67,7 +108,8 @@
     RoutingModel(Scenario scenario, Function<Random, Choice> choiceFactory, long seed) {
         this.scenario = scenario;
         this.random = new Random(seed);
-        for (int index = 0; index < SERVERS; index++) {
+        this.served = new long[scenario.servers()];
+        for (int index = 0; index < scenario.servers(); index++) {
             servers.add(new Server(index));
         }
         for (int index = 0; index < scenario.nodes; index++) {
@@ -97,7 +139,7 @@
 
     /** Runs until {@code end}; the slow-down applies from 10 s on, and latencies are recorded from then. */
     RoutingModel run(long end) {
-        double perSecond = scenario.utilisation * SERVERS * scenario.slots * SECOND / MEAN_SERVICE;
+        double perSecond = scenario.utilisation * scenario.servers() * scenario.slots * SECOND / scenario.meanService;
         long next = 0;
         while (next < end) {
             next += (long) (-Math.log(1 - random.nextDouble()) * SECOND / perSecond);
@@ -105,19 +147,37 @@
                 Event event = events.poll();
                 event.action.accept(event.at);
             }
-            nodes.get(random.nextInt(nodes.size())).call(next);
+            nodes.get(entryNode()).call(next);
         }
         return this;
     }
 
+    private int entryNode() {
+        int any = random.nextInt(nodes.size());
+        return scenario.crowding > 0 && random.nextDouble() < scenario.crowding
+                ? any - any % scenario.distances.length
+                : any;
+    }
+
     double latencyMilliseconds(double percentile) {
         return Math.round(latencies.getValueAtPercentile(percentile) / 1e5) / 10.0;
     }
 
+    /** Returns the calls of the busiest server divided by the mean of all servers. */
+    double busiestToMean() {
+        LongSummaryStatistics calls = Arrays.stream(served).summaryStatistics();
+        return calls.getMax() / calls.getAverage();
+    }
+
+    double shareInOwnDataCentre() {
+        return (double) servedAtDistance[Distance.SAME_DATA_CENTRE.ordinal()]
+                / Arrays.stream(servedAtDistance).sum();
+    }
+
     private long serviceTime(int server, long now) {
         boolean slow = server == 0 && now >= 10 * SECOND;
         double erlang = -Math.log((1 - random.nextDouble()) * (1 - random.nextDouble())) / 2;
-        return (long) (erlang * MEAN_SERVICE * (slow ? scenario.slowdown : 1));
+        return (long) (erlang * scenario.meanService * (slow ? scenario.slowdown : 1));
     }
 
     private void schedule(long time, LongConsumer action) {
@@ -165,7 +225,7 @@
 
         Node(Choice choice, int number) {
             this.choice = choice;
-            for (int index = 0; index < SERVERS; index++) {
+            for (int index = 0; index < scenario.servers(); index++) {
                 Distance distance = scenario.distances[number % scenario.distances.length][index];
                 upstreams.add(new Upstream(
                         new Vm("vm-" + index, "s", "d", "10.0.0." + index, 7001, false), distance, scenario.slots));
@@ -186,12 +246,13 @@
             Server server = servers.get(index);
             int inFlight = server.running;
             int queued = server.waiting.size();
-            RoutingModel.this.schedule(done + REPORT_DELAY, late -> upstream.reported(inFlight, queued, late));
+            RoutingModel.this.schedule(done + scenario.reportDelay, late -> upstream.reported(inFlight, queued, late));
             RoutingModel.this.schedule(done + upstream.distance().roundTrip() / 2, end -> {
                 upstream.ended(call, UpstreamEnd.ANSWERED, end);
                 if (start >= 10 * SECOND) {
                     latencies.recordValue(end - start);
                     served[index]++;
+                    servedAtDistance[upstream.distance().ordinal()]++;
                 }
             });
         }
