Bound answers without end, and drop connections with stray bytes

Cause: the body of a backend server's answer was kept without a limit until the deadline, so that one without end filled the heap (in the test 100 MB were taken). Bytes after an answer that were not yet a whole message stayed in the decoder of a connection that was used again, were joined with the next answer, and that request failed although it had run. Change: a body is given up at 16 MiB; all incomplete bodies together at a quarter of the heap, the largest first. A connection with bytes after its answer, or with bytes while it is idle, is closed.

--- a/node/src/main/java/org/plantainshunt/http/BackendConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnection.java
@@ -9,6 +9,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -16,7 +17,9 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -28,8 +31,9 @@
 /**
  * One HTTP connection to the backend server.
  *
- * <p>A response to another request is discarded, and the connection is not reused. Bytes that arrive while no request
- * is in flight close the connection. Confined to the event loop.
+ * <p>A response to another request is discarded, and the connection is not reused. Bytes that follow a response or
+ * arrive while no request is in flight close the connection, even if they are only the beginning of a message.
+ * Confined to the event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
@@ -42,6 +46,7 @@
     private static final double IDLE_LIMIT_FRACTION = 0.6;
 
     private final BackendConnections pool;
+    private final Decoder decoder = new Decoder();
     private ChannelHandlerContext context;
     private Optional<BackendConnections.Exchange> current = Optional.empty();
     private HttpResponse head;
@@ -56,6 +61,11 @@
         this.pool = pool;
     }
 
+    /** Returns the handlers of the connection's channel, in order. */
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpRequestEncoder(), new StrayByteDetector(), decoder, this};
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -105,6 +115,9 @@
     void close() {
         keepAlive = false;
         current = Optional.empty();
+        pool.unreserve(this);
+        body = null;
+        head = null;
         context.close();
     }
 
@@ -128,7 +141,7 @@
             return;
         }
         releaseOnReadComplete = false;
-        if (keepAlive && context.channel().isActive()) {
+        if (keepAlive && context.channel().isActive() && !decoder.hasUndecodedBytes()) {
             release();
         } else {
             close();
@@ -178,6 +191,9 @@
         }
         if (matchesRequest) {
             ByteBuf bytes = content.content();
+            if (!pool.reserve(this, bytes.readableBytes())) {
+                return;
+            }
             byte[] copy = new byte[bytes.readableBytes()];
             bytes.readBytes(copy);
             body.writeBytes(copy);
@@ -195,6 +211,7 @@
         }
         BufferedHttpResponse response = response(body.toByteArray());
         BackendConnections.Exchange exchange = current.orElseThrow();
+        pool.unreserve(this);
         head = null;
         body = null;
         current = Optional.empty();
@@ -207,6 +224,16 @@
         return new BufferedHttpResponse(head.status().code(), headers, content);
     }
 
+    /** Returns the bytes of the response body that have arrived. */
+    int bufferedBytes() {
+        return body == null ? 0 : body.size();
+    }
+
+    /** Fails the request because its response takes too much memory. */
+    void failTooLarge(String detail) {
+        fail(FailureStage.ANSWER_TOO_LARGE, detail);
+    }
+
     private void fail(FailureStage stage, String detail) {
         Optional<BackendConnections.Exchange> failing = current;
         close();
@@ -221,4 +248,24 @@
         }
         return (long) (IDLE_LIMIT_FRACTION * TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1))));
     }
+
+    /** Tells whether bytes are left that do not make a complete message yet. */
+    private static final class Decoder extends HttpResponseDecoder {
+        boolean hasUndecodedBytes() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    /** Closes the connection if bytes arrive while no request is in flight. */
+    private final class StrayByteDetector extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            if (current.isEmpty() && !releaseOnReadComplete) {
+                ReferenceCountUtil.release(message);
+                close();
+                return;
+            }
+            super.channelRead(ctx, message);
+        }
+    }
 }
--- a/node/src/main/java/org/plantainshunt/http/BackendConnections.java
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnections.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -17,8 +19,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.plantainshunt.call.BackendServer.FailureStage;
 import org.plantainshunt.protocol.LoopTimer;
 
@@ -33,13 +33,32 @@
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+    /** The share of the heap that incomplete response bodies may take together. */
+    private static final int HEAP_DIVISOR = 4;
+
+    private static final int MAX_BODY_BYTES = 16 << 20;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final LongSupplier clock;
+    private final Limits limits;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Channel> channels = new HashSet<>();
+    private final Set<BackendConnection> receiving = new HashSet<>();
     private final LoopTimer sweep;
+    private long receivedBytes;
+
+    /**
+     * Limits on response bodies that have not arrived completely.
+     *
+     * @param bodyBytes the size limit of one body
+     * @param totalBytes the size limit of all bodies together; at the limit, the largest one is given up
+     */
+    public record Limits(long bodyBytes, long totalBytes) {
+        static Limits ofHeap() {
+            return new Limits(MAX_BODY_BYTES, Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+        }
+    }
 
     /**
      * A request and the listener for its outcome.
@@ -115,6 +134,12 @@
      * @param clock the node's monotonic clock, in nanoseconds
      */
     public BackendConnections(EventLoop loop, InetSocketAddress address, LongSupplier clock) {
+        this(loop, address, clock, Limits.ofHeap());
+    }
+
+    /** Creates an empty pool with limits of its own. */
+    BackendConnections(EventLoop loop, InetSocketAddress address, LongSupplier clock, Limits limits) {
+        this.limits = limits;
         this.loop = loop;
         this.address = address;
         this.clock = clock;
@@ -154,6 +179,37 @@
         idle.addFirst(connection);
     }
 
+    /**
+     * Counts bytes of a response body that are about to be kept, and gives up responses that exceed a limit. Returns
+     * whether the connection may keep the bytes.
+     */
+    boolean reserve(BackendConnection connection, int bytes) {
+        if (connection.bufferedBytes() + (long) bytes > limits.bodyBytes()) {
+            connection.failTooLarge("the answer has over " + limits.bodyBytes() + " bytes");
+            return false;
+        }
+        receiving.add(connection);
+        receivedBytes += bytes;
+        while (receivedBytes > limits.totalBytes()) {
+            BackendConnection largest =
+                    Collections.max(receiving, Comparator.comparingInt(BackendConnection::bufferedBytes));
+            largest.failTooLarge("the incomplete answers take over " + limits.totalBytes() + " bytes together");
+            if (largest == connection) {
+                // Its new bytes are counted but not in its buffer yet.
+                receivedBytes -= bytes;
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Stops counting the bytes of a connection's response body. */
+    void unreserve(BackendConnection connection) {
+        if (receiving.remove(connection)) {
+            receivedBytes -= connection.bufferedBytes();
+        }
+    }
+
     void closed(BackendConnection connection, Channel channel) {
         idle.remove(connection);
         channels.remove(channel);
@@ -179,7 +235,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channels.add(channel);
-                        channel.pipeline().addLast(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+                        channel.pipeline().addLast(connection.handlers());
                     }
                 })
                 .connect(address)
--- a/node/src/test/java/org/plantainshunt/http/BackendConnectionsTest.java
+++ b/node/src/test/java/org/plantainshunt/http/BackendConnectionsTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -22,9 +23,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class BackendConnectionsTest {
     private static final int TIMEOUT_SECONDS = 10;
+    private static final int REPEATED_REQUESTS = 2_000;
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
@@ -154,9 +157,172 @@
         assertNotEquals("200 ", nextOutcome());
     }
 
+    /** Bytes that are only the beginning of a message must not be joined with the next response. */
+    @Test
+    void connectionIsNotUsedAgainAfterIncompleteSurplusBytes() throws Exception {
+        send("1");
+        Socket accepted = accept();
+        readRequest(accepted);
+        write(accepted, head("1", 3) + "one" + "HTTP/1.1 200 OK\r\nId: 2");
+        assertEquals("200 one", nextOutcome());
+        awaitEventLoop();
+        send("2");
+        answer(accept(), "2", "two");
+        assertEquals("200 two", nextOutcome());
+    }
+
+    /** The beginning of a second copy of an answer must not stay on an idle connection. */
+    @Test
+    void connectionIsNotUsedAgainAfterIncompleteBytesWhileItWasIdle() throws Exception {
+        send("1");
+        Socket accepted = accept();
+        answer(accepted, "1", "one");
+        assertEquals("200 one", nextOutcome());
+        awaitEventLoop();
+        write(accepted, "HTTP/1.1 200 OK\r\nId: 1");
+        awaitEventLoop();
+        send("2");
+        answer(accept(), "2", "two");
+        assertEquals("200 two", nextOutcome());
+    }
+
+    /** A body without end must not fill the memory. */
+    @Test
+    void bodyWithoutEndIsGivenUpAtTheLimit() throws Exception {
+        limit(new BackendConnections.Limits(100_000, 1_000_000));
+        send("1");
+        Socket accepted = accept();
+        readRequest(accepted);
+        write(accepted, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        writeUntilClosed(accepted, "2710\r\n" + "x".repeat(10_000) + "\r\n");
+        assertEquals(FailureStage.ANSWER_TOO_LARGE.name(), nextOutcome());
+    }
+
+    /** Many large bodies at once must not fill the memory either; the largest is given up, the others arrive. */
+    @Test
+    void largestIncompleteBodyIsGivenUpAtTheTotalLimit() throws Exception {
+        limit(new BackendConnections.Limits(1_000_000, 200_000));
+        send("1");
+        Socket small = accept();
+        readRequest(small);
+        write(small, head("1", 60_000) + "s".repeat(50_000));
+        awaitEventLoop();
+        send("2");
+        Socket large = accept();
+        readRequest(large);
+        write(large, head("2", 900_000) + "l".repeat(300_000));
+        assertEquals(FailureStage.ANSWER_TOO_LARGE.name(), nextOutcome());
+        write(small, "s".repeat(10_000));
+        assertEquals("200 " + "s".repeat(60_000), nextOutcome());
+    }
+
+    /** Lines and heads without end must not fill the memory. */
+    @Test
+    void headWithoutEndIsGivenUp() throws Exception {
+        send("1");
+        Socket accepted = accept();
+        readRequest(accepted);
+        write(accepted, "HTTP/1.1 200 OK\r\n");
+        writeUntilClosed(accepted, "Name: " + "v".repeat(1_000) + "\r\n");
+        assertEquals(FailureStage.ANSWER_CUT.name(), nextOutcome());
+        send("2");
+        Socket other = accept();
+        readRequest(other);
+        writeUntilClosed(other, "x".repeat(1_000));
+        assertEquals(FailureStage.ANSWER_CUT.name(), nextOutcome());
+    }
+
+    /**
+     * Each caller gets the answer to its own request, whatever a server sends besides it: copies of earlier answers,
+     * whole or cut, before, after and between the answers.
+     */
+    @Test
+    void noCallerGetsAnotherAnswerWhateverTheServerRepeats() throws Exception {
+        long seed = Long.getLong("seed", 20_261_205);
+        Random random = new Random(seed);
+        server.setSoTimeout(0);
+        Thread repeating = new Thread(() -> serveWithRepeats(random), "repeating-server");
+        repeating.setDaemon(true);
+        repeating.start();
+        int answered = 0;
+        for (int number = 0; number < REPEATED_REQUESTS; number++) {
+            send("r" + number);
+            String outcome = nextOutcome();
+            if (outcome.startsWith("200 ")) {
+                assertEquals("200 body of r" + number, outcome, "seed " + seed);
+                answered++;
+            }
+        }
+        assertTrue(answered > REPEATED_REQUESTS / 2, "seed " + seed + ": only " + answered + " requests were answered");
+    }
+
+    /** Serves each connection by a thread of its own until it is closed. */
+    private void serveWithRepeats(Random random) {
+        try {
+            while (!server.isClosed()) {
+                Socket accepted = server.accept();
+                Random own = new Random(random.nextLong());
+                Thread thread = new Thread(() -> answerWithRepeats(accepted, own), "repeating-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException closed) {
+            return;
+        }
+    }
+
+    private static void answerWithRepeats(Socket accepted, Random random) {
+        String last = "";
+        try (accepted) {
+            while (true) {
+                String request = readRequest(accepted);
+                String id = request.substring(request.indexOf("Id: ") + 4).split("\r")[0];
+                String body = "body of " + id;
+                String own = head(id, body.length()) + body;
+                String extra = random.nextBoolean() ? last : own;
+                String sent =
+                        switch (random.nextInt(8)) {
+                            case 0 -> extra + own;
+                            case 1 -> own + extra;
+                            case 2 -> own + extra.substring(0, random.nextInt(extra.length() + 1));
+                            case 3 -> "HTTP/1.1 100 Continue\r\n\r\n" + own;
+                            default -> own;
+                        };
+                int split = random.nextInt(sent.length());
+                write(accepted, sent.substring(0, split));
+                write(accepted, sent.substring(split));
+                if (random.nextInt(8) == 0) {
+                    Thread.sleep(random.nextInt(3));
+                    write(accepted, extra.substring(0, random.nextInt(extra.length() + 1)));
+                }
+                last = own;
+            }
+        } catch (IOException | InterruptedException closed) {
+            return;
+        }
+    }
+
+    private void limit(BackendConnections.Limits limits) {
+        connections.close();
+        connections = new BackendConnections(
+                loops.next(), new InetSocketAddress("127.0.0.1", server.getLocalPort()), System::nanoTime, limits);
+    }
+
+    /** Writes a text again and again until the other side closes the connection, or fails after 100 MB. */
+    private static void writeUntilClosed(Socket accepted, String text) {
+        try {
+            for (int written = 0; written < 100_000_000; written += text.length()) {
+                write(accepted, text);
+            }
+        } catch (IOException closed) {
+            return;
+        }
+        throw new AssertionError("the connection takes bytes without end");
+    }
+
     private BackendConnections.Exchange send(String id) throws Exception {
-        BufferedHttpRequest httpRequest =
-                new BufferedHttpRequest("GET", "/a", List.of(new Header("Host", "h")), new byte[0], 0);
+        BufferedHttpRequest httpRequest = new BufferedHttpRequest(
+                "GET", "/a", List.of(new Header("Host", "h"), new Header("Id", id)), new byte[0], 0);
         CompletableFuture<BackendConnections.Exchange> sent = new CompletableFuture<>();
         loops.next()
                 .execute(() -> sent.complete(connections.send(new BackendConnections.Request(
@@ -182,7 +348,7 @@
         return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + length + "\r\n\r\n";
     }
 
-    private static void readRequest(Socket accepted) throws IOException {
+    private static String readRequest(Socket accepted) throws IOException {
         StringBuilder read = new StringBuilder();
         while (read.indexOf("\r\n\r\n") < 0) {
             int next = accepted.getInputStream().read();
@@ -191,6 +357,7 @@
             }
             read.append((char) next);
         }
+        return read.toString();
     }
 
     private static void write(Socket accepted, String text) throws IOException {
