--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -282,7 +282,7 @@
         Set<String> recipients = new LinkedHashSet<>(contacts.followers(clock.getAsLong()));
         recipients.addAll(state.gossip.accepted(version, otherNodes));
         recipients.forEach(name -> announce(name, kind, version));
-        configuration.current().ifPresent(document -> vmList.ifPresent(list -> contacts.update(document, list)));
+        vmList.ifPresent(list -> contacts.update(configuration.current(), list));
         applyWhenReady(clock.getAsLong());
     }
 
--- a/node/src/main/java/org/plantainshunt/control/StoreContacts.java
+++ b/node/src/main/java/org/plantainshunt/control/StoreContacts.java
@@ -53,8 +53,11 @@
         this.send = send;
     }
 
-    /** Updates the VMs among which readers are chosen: those of this node's region that are not leaving. */
-    void update(Document configuration, VmList list) {
+    /**
+     * Updates the VMs among which readers are chosen: those of this node's region that are not leaving. Without a
+     * configuration the regions are unknown, and all VMs count as one region.
+     */
+    void update(Optional<Document> configuration, VmList list) {
         Optional<String> ownRegion = region(configuration, ownDataCentre);
         readers.region(list.vms().stream()
                 .filter(vm ->
@@ -96,8 +99,10 @@
         return readers.sources(now);
     }
 
-    private static Optional<String> region(Document configuration, String dataCentre) {
-        return configuration.dataCentre(dataCentre).map(DataCentre::region);
+    private static Optional<String> region(Optional<Document> configuration, String dataCentre) {
+        return configuration
+                .flatMap(document -> document.dataCentre(dataCentre))
+                .map(DataCentre::region);
     }
 
     private static Announcement message(long number) {
--- a/node/src/main/java/org/plantainshunt/http/RatpackBackendServer.java
+++ b/node/src/main/java/org/plantainshunt/http/RatpackBackendServer.java
@@ -7,8 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -19,7 +17,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ratpack.exec.ExecController;
-import ratpack.exec.Execution;
 import ratpack.exec.Promise;
 import ratpack.http.Headers;
 import ratpack.http.client.HttpClient;
@@ -121,24 +118,13 @@
     }
 
     private Promise<ResponseCollector.Result> collect(Handover request, StreamedResponse response) {
-        Headers headers = response.getHeaders();
         int status = response.getStatusCode();
         boolean withoutBody = status == NO_CONTENT
                 || status == NOT_MODIFIED
                 || request.method().equalsIgnoreCase("HEAD");
-        OptionalLong length = contentLength(headers);
-        // A response that ends with its connection cannot be told from a truncated one, so it counts as truncated.
-        boolean truncationDetectable = withoutBody || length.isPresent() || isChunked(headers);
-        ResponseCollector.Head head = new ResponseCollector.Head(
-                status, forwardedHeaders(headers), truncationDetectable, withoutBody ? OptionalLong.empty() : length);
         long left = request.deadline() + CANCEL_GRACE_NANOSECONDS - clock.getAsLong();
-        return Promise.async(downstream -> response.getBody()
-                .subscribe(new ResponseCollector(
-                        head,
-                        maxResponseBytes.getAsLong(),
-                        Execution.current().getEventLoop(),
-                        left,
-                        downstream::success)));
+        return ResponseCollector.collect(
+                response, withoutBody, forwardedHeaders(response.getHeaders()), maxResponseBytes.getAsLong(), left);
     }
 
     private void configureRequest(RequestSpec spec, Handover request, long left) {
@@ -172,20 +158,6 @@
         return forwarded;
     }
 
-    private static OptionalLong contentLength(Headers headers) {
-        String text = headers.get("content-length");
-        try {
-            return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text.trim()));
-        } catch (NumberFormatException e) {
-            return OptionalLong.empty();
-        }
-    }
-
-    private static boolean isChunked(Headers headers) {
-        String encoding = headers.get("transfer-encoding");
-        return encoding != null && encoding.toLowerCase(Locale.ROOT).contains("chunked");
-    }
-
     static FailureStage failureStage(Throwable error) {
         for (Throwable cause = error; cause != null; cause = cause.getCause()) {
             if (cause instanceof ConnectException) {
--- a/node/src/main/java/org/plantainshunt/http/ResponseCollector.java
+++ b/node/src/main/java/org/plantainshunt/http/ResponseCollector.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,13 +16,17 @@
 import org.plantainshunt.protocol.Header;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
+import ratpack.exec.Execution;
+import ratpack.exec.Promise;
+import ratpack.http.Headers;
+import ratpack.http.client.StreamedResponse;
 
 /**
  * Collects the body of a streamed response and checks that it is complete.
  *
  * <p>Delivers exactly one result. Confined to the thread of its exchange.
  */
-final class ResponseCollector implements Subscriber<ByteBuf> {
+public final class ResponseCollector implements Subscriber<ByteBuf> {
     private final Head head;
     private final long maxBytes;
     private final Consumer<Result> listener;
@@ -47,6 +52,40 @@
         this.timeout = eventLoop.schedule(this::timedOut, Math.max(0, timeoutNanos), TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Reads the body of a response.
+     *
+     * @param withoutBody whether a response of this status and to this method has no body
+     * @param headers the headers to pass on with the result
+     * @param maxBytes the size limit of the body, in bytes
+     * @param timeoutNanos the timeout for the whole response, in nanoseconds
+     */
+    public static Promise<Result> collect(
+            StreamedResponse response, boolean withoutBody, List<Header> headers, long maxBytes, long timeoutNanos) {
+        OptionalLong length = contentLength(response.getHeaders());
+        // A response that ends with its connection cannot be told from a truncated one, so it counts as truncated.
+        boolean truncationDetectable = withoutBody || length.isPresent() || isChunked(response.getHeaders());
+        Head head = new Head(
+                response.getStatusCode(), headers, truncationDetectable, withoutBody ? OptionalLong.empty() : length);
+        return Promise.async(downstream -> response.getBody()
+                .subscribe(new ResponseCollector(
+                        head, maxBytes, Execution.current().getEventLoop(), timeoutNanos, downstream::success)));
+    }
+
+    private static OptionalLong contentLength(Headers headers) {
+        String text = headers.get("content-length");
+        try {
+            return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text.trim()));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+
+    private static boolean isChunked(Headers headers) {
+        String encoding = headers.get("transfer-encoding");
+        return encoding != null && encoding.toLowerCase(Locale.ROOT).contains("chunked");
+    }
+
     @Override
     public void onSubscribe(Subscription given) {
         subscription = given;
@@ -124,12 +163,17 @@
      *     chunked, or is absent
      * @param contentLength the value of Content-Length, in bytes
      */
-    record Head(int status, List<Header> headers, boolean truncationDetectable, OptionalLong contentLength) {}
+    public record Head(int status, List<Header> headers, boolean truncationDetectable, OptionalLong contentLength) {}
 
     /** The outcome of reading a response; the stage is null if the response is complete. */
-    record Result(Head head, ByteArrayOutputStream body, FailureStage stage, String detail) {
+    public record Result(Head head, ByteArrayOutputStream body, FailureStage stage, String detail) {
+        /** Returns whether the whole response arrived. */
+        public boolean complete() {
+            return stage == null;
+        }
+
         void deliverTo(BackendServer.Listener listener) {
-            if (stage == null) {
+            if (complete()) {
                 listener.answered(head.status(), head.headers(), body.toByteArray());
                 return;
             }
