Keep calls that must not run again open while their peer is silent

Cause: a peer that sent nothing for 0.7 to 1.4 s and did not reply to a ping in 0.7 s more lost its connection, and every call on it ended as "outcome unknown". A machine that is paused for two seconds had its running work given up that way: the caller of an unsafe request got 502 although the answer came, and no other attempt is allowed for it. Change: such a connection takes no new calls and counts as lost for the choice of servers. Calls that may run again are cancelled and end as before, so that they are sent elsewhere; calls that must not run again wait until their deadline. When the peer is heard again, the connection is used again; it is closed when no call waits on it. Ruled out: waiting for repeatable calls too, since another server answers them sooner.

--- a/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
+++ b/core/src/main/java/org/plantainshunt/routing/BackendServerChoice.java
@@ -15,11 +15,12 @@
 /**
  * Chooses the backend server for a call.
  *
- * <p>Two random servers of this data centre and two of the others in this region are compared by their load and distance;
- * a share of the calls leaves the region while its servers are overloaded. Comparing only a few bounds the share of a
- * server that looks idle to all nodes at once. In a large fleet this node has too few calls at a server to know its load
- * from them, so calls also leave the data centre if its server reported that it is crowded and another is not. A server that is much slower than its peers receives only trial calls, and the share of a
- * server that has just started ramps up. Confined to one thread.
+ * <p>Two random servers of this data centre and two of the others in this region are compared by their distance and
+ * by this node's outstanding calls; a share of the calls leaves the region while its servers are overloaded.
+ * Comparing only a few bounds the share of a server that looks idle to all nodes at once. In a large fleet this node
+ * has too few calls at a server to know its load from them, so calls also leave the data centre if its server
+ * reported that it is crowded and another is not. A server that is much slower than its peers receives only trial
+ * calls, and the share of a server that has just started ramps up. Confined to one thread.
  */
 public final class BackendServerChoice {
     /** A call is late if it takes longer than this multiple of its peers' typical latency. */
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -518,9 +518,21 @@
             EntrySide.this.refused(this, message);
         }
 
+        /** A repeatable call is better sent to another server. */
+        @Override
+        public boolean waitsForSilentPeer() {
+            return call.kind.atMostOnce();
+        }
+
         /** Returns a listener that any thread may call; it passes the result to the decision thread. */
         AnswerListener onDecisionThread() {
+            boolean waits = waitsForSilentPeer();
             return new AnswerListener() {
+                @Override
+                public boolean waitsForSilentPeer() {
+                    return waits;
+                }
+
                 @Override
                 public void answered(AnswerMessage message) {
                     environment.taskRunner().submit(() -> EntrySide.this.answered(Attempt.this, message));
--- a/protocol/src/main/java/org/plantainshunt/protocol/AnswerListener.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/AnswerListener.java
@@ -13,4 +13,12 @@
 
     /** Called with the reason if the call ends without an answer. */
     void refused(RefusalMessage refusal);
+
+    /**
+     * Returns whether the call stays open while its peer is silent. A call that must not run again gains nothing from
+     * an early end, and the peer may only be paused.
+     */
+    default boolean waitsForSilentPeer() {
+        return false;
+    }
 }
--- a/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/Connection.java
@@ -40,6 +40,7 @@
     private final DocumentTransfer documents;
     private boolean pingSent;
     private boolean frameReceived;
+    private volatile boolean silent;
 
     /**
      * Creates the connection after the handshake.
@@ -69,7 +70,7 @@
 
     @Override
     public boolean isOpen() {
-        return channel.isActive();
+        return channel.isActive() && !silent;
     }
 
     @Override
@@ -145,6 +146,11 @@
     protected void channelRead0(ChannelHandlerContext handlerContext, Frame frame) throws ProtocolException {
         pingSent = false;
         frameReceived = true;
+        if (silent) {
+            silent = false;
+            LOGGER.info("{} is heard again", peer.vm());
+            context.connections().heardAgain(this, peer);
+        }
         context.controlTraffic().received(frame);
         switch (frame.getContentCase()) {
             case CALL_START, CHUNK, CALL_END, CANCEL, TICKET_REQUEST -> receiveRequest(frame);
@@ -219,8 +225,9 @@
     }
 
     /**
-     * Pings an idle peer if calls or ticket requests to it are open or frames are waiting to be sent, and closes the
-     * connection if nothing arrives until the next idle event.
+     * Pings an idle peer if calls or ticket requests to it are open or frames are waiting to be sent. If nothing
+     * arrives until the next idle event, the peer is silent: the connection takes no new calls, and is closed as soon
+     * as no call waits for the peer.
      */
     @Override
     public void userEventTriggered(ChannelHandlerContext handlerContext, Object event) {
@@ -228,8 +235,7 @@
             return;
         }
         if (pingSent) {
-            LOGGER.warn("connection with {} closed: no reply to a ping", peer.vm());
-            close();
+            peerSilent();
             return;
         }
         if (!outgoing.isEmpty() || writer.isWaiting()) {
@@ -239,6 +245,19 @@
         }
     }
 
+    private void peerSilent() {
+        if (!silent) {
+            silent = true;
+            LOGGER.warn("{} does not reply to a ping", peer.vm());
+            context.connections().fellSilent(this);
+        }
+        outgoing.peerSilent();
+        if (outgoing.isEmpty()) {
+            LOGGER.warn("connection with {} closed: no reply to a ping", peer.vm());
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext handlerContext) {
         writer.close();
--- a/protocol/src/main/java/org/plantainshunt/protocol/ConnectionRegistry.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/ConnectionRegistry.java
@@ -16,6 +16,9 @@
 final class ConnectionRegistry {
     private final PeerHandler handler;
     private final Set<Connection> connections = new HashSet<>();
+    /** The connections whose peer does not reply; they don't count as connections with their VM. */
+    private final Set<Connection> silent = new HashSet<>();
+
     private final Map<String, Integer> connectionsByVm = new HashMap<>();
     private boolean draining;
 
@@ -25,18 +28,38 @@
 
     synchronized void opened(Connection connection, HandshakeInfo handshakeInfo) {
         connections.add(connection);
-        connectionsByVm.merge(handshakeInfo.vm(), 1, Integer::sum);
         if (draining) {
             connection.announceDraining();
         }
-        handler.handshakeCompleted(handshakeInfo);
+        count(handshakeInfo);
     }
 
     synchronized void closed(Connection connection) {
-        if (!connections.remove(connection)) {
-            return;
+        if (connections.remove(connection) && !silent.remove(connection)) {
+            discount(connection.peerVm());
+        }
+    }
+
+    /** Records that the peer of an open connection does not reply. */
+    synchronized void fellSilent(Connection connection) {
+        if (connections.contains(connection) && silent.add(connection)) {
+            discount(connection.peerVm());
         }
-        String vm = connection.peerVm();
+    }
+
+    /** Records that a silent peer has sent something. */
+    synchronized void heardAgain(Connection connection, HandshakeInfo handshakeInfo) {
+        if (silent.remove(connection)) {
+            count(handshakeInfo);
+        }
+    }
+
+    private void count(HandshakeInfo handshakeInfo) {
+        connectionsByVm.merge(handshakeInfo.vm(), 1, Integer::sum);
+        handler.handshakeCompleted(handshakeInfo);
+    }
+
+    private void discount(String vm) {
         Integer left = connectionsByVm.computeIfPresent(vm, (name, count) -> count > 1 ? count - 1 : null);
         if (left == null) {
             handler.disconnected(vm);
--- a/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCall.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCall.java
@@ -47,6 +47,11 @@
         return message.deadlineMilliseconds() - elapsed / NANOSECONDS_PER_MILLISECOND;
     }
 
+    /** Returns whether the call stays open while its peer is silent. */
+    boolean waitsForSilentPeer() {
+        return !cancelled && remainingMilliseconds() > 0 && listener.waitsForSilentPeer();
+    }
+
     void answerStarted(AnswerStart start) {
         answerStart = start;
         answerBody = new BodyAssembly(start.getBodyLength());
--- a/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
@@ -165,6 +165,25 @@
         }
     }
 
+    /**
+     * Ends the calls and ticket requests that do not wait for a silent peer, as if the connection was lost. The peer is
+     * told to cancel them, in case it is only paused.
+     */
+    void peerSilent() {
+        for (OutgoingCall call : new ArrayList<>(calls.values())) {
+            if (call.waitsForSilentPeer()) {
+                continue;
+            }
+            if (call.stream().started() && !call.isCancelled()) {
+                sendCancel(call);
+            }
+            refuse(call, connectionLostRefusal(call));
+        }
+        List<TicketListener> openTickets = new ArrayList<>(tickets.values());
+        tickets.clear();
+        openTickets.forEach(ticket -> Callbacks.run(() -> ticket.refused(connectFailed())));
+    }
+
     /** Ends all open calls and ticket requests because the connection is lost. */
     void connectionLost() {
         closed = true;
