Start a new reader of the store from the list in force

Cause: a node that had read the store itself kept those registrations while it relied on others. When it read again after an outage of the store, servers that had left meanwhile counted as registrations that may be renewed, and were listed again for 2.2 s, in a newer list than everybody's (one of the failures that operators of similar systems report; found by reading). Change: the list in force replaces the registrations when a node stops reading and with each list it gets from a peer while it has no contact of its own; its next read is a complete one. The number of readers is rounded, not rounded up (2 of 20 nodes, 4 of 49, 8 of 229).

--- a/core/src/main/java/org/plantainshunt/membership/StoreReaders.java
+++ b/core/src/main/java/org/plantainshunt/membership/StoreReaders.java
@@ -172,7 +172,7 @@
 
     /** Grows with the square root of the region's size, and so do the requests that a reader replies to. */
     private int readerCount() {
-        int count = Math.max(MINIMUM_READERS, (int) Math.ceil(Math.sqrt(ranking.size()) / 2));
+        int count = Math.max(MINIMUM_READERS, (int) Math.round(Math.sqrt(ranking.size()) / 2));
         return Math.min(count, ranking.size());
     }
 
--- a/node/src/main/java/org/plantainshunt/control/FleetControl.java
+++ b/node/src/main/java/org/plantainshunt/control/FleetControl.java
@@ -140,7 +140,7 @@
         long now = clock.getAsLong();
         if (platform.waitsForChange()) {
             contacts.tick(now);
-            logStoreAccess(new StoreAccess(contacts.reads(now), contacts.sources(now), contacts.followers(now)));
+            updateStoreAccess(new StoreAccess(contacts.reads(now), contacts.sources(now), contacts.followers(now)));
         }
         states.forEach((kind, state) -> pollWhenDue(kind, state, now));
         if (now >= nextExchange) {
@@ -253,8 +253,13 @@
         return current ? Optional.of(Contact.CURRENT) : Optional.empty();
     }
 
-    private void logStoreAccess(StoreAccess access) {
+    private boolean hasCurrentContact(DocumentKind kind) {
+        return states.get(kind).contact.equals(Optional.of(Contact.CURRENT));
+    }
+
+    private void updateStoreAccess(StoreAccess access) {
         if (access.reads() != storeAccess.reads()) {
+            vmList.filter(list -> !access.reads()).ifPresent(platform::learned);
             LOGGER.info(
                     access.reads()
                             ? "reads the store itself; nodes that rely on this one: {}"
@@ -395,7 +400,7 @@
             // A VM list does not show whether the platform's configuration is stale.
             seedAnswered |= kind == DocumentKind.CONFIGURATION;
             offer(kind, bytes, from.peerVm());
-            if (kind == DocumentKind.VM_LIST) {
+            if (kind == DocumentKind.VM_LIST && !hasCurrentContact(kind)) {
                 vmList.ifPresent(platform::learned);
             }
         } catch (IOException e) {
--- a/node/src/main/java/org/plantainshunt/control/Platform.java
+++ b/node/src/main/java/org/plantainshunt/control/Platform.java
@@ -21,7 +21,10 @@
         return false;
     }
 
-    /** Reports a VM list that another node sent and that is now in force; called on the control thread. */
+    /**
+     * Reports the VM list in force to a node that does not read the store itself, so that its next read starts from it;
+     * called on the control thread.
+     */
     default void learned(VmList list) {}
 
     @Override
