Share the event queue of two models in tests

Cause: StoreReadersModel and GossipModel each had the same queue of events on a virtual clock. Change: EventQueue, used by both. Result: StoreReadersTest and DocumentGossipTest pass, as before.

--- a/core/src/test/java/org/plantainshunt/membership/GossipModel.java
+++ b/core/src/test/java/org/plantainshunt/membership/GossipModel.java
@@ -5,7 +5,6 @@
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -31,10 +30,8 @@
     final DocumentVersion[] replicas = new DocumentVersion[3];
     private final List<Node> nodes = new ArrayList<>();
     private final List<String> names;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final EventQueue events = new EventQueue();
     private final Random random;
-    private long scheduled;
-    private long now;
     private long reads;
     private int splitAt;
 
@@ -46,8 +43,9 @@
             Node node = new Node(index, new DocumentGossip(new Random(seed + 1 + index)));
             node.gossip.accepted(replicas[0], List.of());
             nodes.add(node);
-            after((long) (random.nextDouble() * node.gossip.nextPoll(size).toNanos()), node::poll);
-            after((long) (random.nextDouble() * SECOND), node::exchange);
+            events.after(
+                    (long) (random.nextDouble() * node.gossip.nextPoll(size).toNanos()), node::poll);
+            events.after((long) (random.nextDouble() * SECOND), node::exchange);
         }
     }
 
@@ -69,10 +67,10 @@
 
     /** Runs until all live nodes have a version and returns the seconds this took, or -1 after a limit. */
     double secondsUntil(DocumentVersion version, double limitSeconds) {
-        long start = now;
-        while (now - start < limitSeconds * SECOND) {
+        long start = now();
+        while (now() - start < limitSeconds * SECOND) {
             if (nodes.stream().allMatch(node -> node.dead || node.has(version))) {
-                return (now - start) / (double) SECOND;
+                return (now() - start) / (double) SECOND;
             }
             run(SECOND / 100);
         }
@@ -80,42 +78,24 @@
     }
 
     void run(long duration) {
-        long end = now + duration;
-        while (!events.isEmpty() && events.peek().at <= end) {
-            Event event = events.poll();
-            now = event.at;
-            event.action.run();
-        }
-        now = end;
+        events.run(duration);
     }
 
     long now() {
-        return now;
+        return events.now();
     }
 
     double readsPerSecond() {
-        return reads * (double) SECOND / now;
+        return reads * (double) SECOND / now();
     }
 
     /** Returns the bytes a second, in and out, of the busiest node. */
     double busiestBytesPerSecond() {
-        return nodes.stream().mapToLong(node -> node.bytes).max().orElseThrow() * (double) SECOND / now;
+        return nodes.stream().mapToLong(node -> node.bytes).max().orElseThrow() * (double) SECOND / now();
     }
 
     double averageBytesPerSecond() {
-        return nodes.stream().mapToLong(node -> node.bytes).average().orElseThrow() * SECOND / now;
-    }
-
-    private void after(long delay, Runnable action) {
-        events.add(new Event(now + delay, scheduled++, action));
-    }
-
-    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
+        return nodes.stream().mapToLong(node -> node.bytes).average().orElseThrow() * SECOND / now();
     }
 
     /** A simulated node, its connections and its traffic in bytes. */
@@ -139,7 +119,7 @@
         }
 
         private void poll() {
-            after(gossip.nextPoll(nodes.size()).toNanos(), this::poll);
+            events.after(gossip.nextPoll(nodes.size()).toNanos(), this::poll);
             if (dead || index < splitAt) {
                 return;
             }
@@ -147,11 +127,11 @@
             DocumentVersion found = replicas[random.nextInt(replicas.length)];
             bytes += seen.contains(found) ? 2 * VERSION_BYTES : DOCUMENT_BYTES;
             seen.add(found);
-            after(SECOND / 100, () -> accept(found));
+            events.after(SECOND / 100, () -> accept(found));
         }
 
         private void exchange() {
-            after(SECOND, this::exchange);
+            events.after(SECOND, this::exchange);
             gossip.nextExchange(names).ifPresent(peer -> announce(nodes.get(Integer.parseInt(peer))));
         }
 
@@ -161,8 +141,8 @@
         }
 
         private void receiveVersion(DocumentVersion peerVersion, Node from) {
-            if (gossip.wants(peerVersion, now)) {
-                gossip.requested(peerVersion, now);
+            if (gossip.wants(peerVersion, now())) {
+                gossip.requested(peerVersion, now());
                 send(from, VERSION_BYTES, () -> from.answer(this));
             } else if (gossip.current().orElseThrow().compareTo(peerVersion) > 0) {
                 announce(from);
@@ -194,12 +174,12 @@
             bytes += size + connection;
             boolean cut = index < splitAt != to.index < splitAt;
             if (to.dead || cut) {
-                after(CONNECT_TIMEOUT, () -> gossip.unreachable(names.get(to.index)));
+                events.after(CONNECT_TIMEOUT, () -> gossip.unreachable(names.get(to.index)));
                 return;
             }
             connected.set(to.index);
             to.bytes += size + connection;
-            after((long) (SECOND * (0.0005 + 0.0395 * random.nextDouble())), () -> {
+            events.after((long) (SECOND * (0.0005 + 0.0395 * random.nextDouble())), () -> {
                 if (!to.dead) {
                     action.run();
                 }
--- a/core/src/test/java/org/plantainshunt/membership/StoreReadersModel.java
+++ b/core/src/test/java/org/plantainshunt/membership/StoreReadersModel.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -25,10 +24,8 @@
 
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, Node> byName = new HashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final EventQueue events = new EventQueue();
     private final Random random;
-    private long scheduled;
-    private long now;
     private long longestUninformed;
     private final Map<Long, Integer> newReadersBySecond = new HashMap<>();
 
@@ -41,18 +38,16 @@
             node.readers.region(names);
             nodes.add(node);
             byName.put(name, node);
-            after((long) (random.nextDouble() * TICK), node::tick);
+            events.after((long) (random.nextDouble() * TICK), node::tick);
         }
     }
 
     void run(double seconds) {
-        long end = now + (long) (seconds * SECOND);
-        while (!events.isEmpty() && events.peek().at <= end) {
-            Event event = events.poll();
-            now = event.at;
-            event.action.run();
-        }
-        now = end;
+        events.run((long) (seconds * SECOND));
+    }
+
+    private long now() {
+        return events.now();
     }
 
     void fail(int node, int fault) {
@@ -93,18 +88,6 @@
                 .orElse(0);
     }
 
-    private void after(long delay, Runnable action) {
-        events.add(new Event(now + delay, scheduled++, action));
-    }
-
-    private record Event(long at, long order, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     private final class Node {
         private final String name;
         private final StoreReaders readers;
@@ -123,45 +106,45 @@
         }
 
         private void tick() {
-            after(TICK, this::tick);
+            events.after(TICK, this::tick);
             if (!works()) {
                 reading = false;
-                informedAt = now;
+                informedAt = now();
                 return;
             }
-            boolean reads = readers.reads(now);
+            boolean reads = readers.reads(now());
             if (reads && !reading) {
-                readingSince = now;
-                newReadersBySecond.merge(now / SECOND, 1, Integer::sum);
+                readingSince = now();
+                newReadersBySecond.merge(now() / SECOND, 1, Integer::sum);
             }
             reading = reads;
-            readers.nextRequest(now).ifPresent(source -> send(byName.get(source), this::receiveRequest));
+            readers.nextRequest(now()).ifPresent(source -> send(byName.get(source), this::receiveRequest));
             if (fault.isPresent() || isInformed()) {
-                informedAt = now;
+                informedAt = now();
             }
-            longestUninformed = Math.max(longestUninformed, now - informedAt);
+            longestUninformed = Math.max(longestUninformed, now() - informedAt);
         }
 
         private boolean isInformed() {
             return hasContact()
-                    || readers.sources(now).stream().map(byName::get).anyMatch(Node::hasContact);
+                    || readers.sources(now()).stream().map(byName::get).anyMatch(Node::hasContact);
         }
 
         private boolean hasContact() {
-            return fault.isEmpty() && reading && now - readingSince >= READ_TIME;
+            return fault.isEmpty() && reading && now() - readingSince >= READ_TIME;
         }
 
         private void receiveRequest(Node from, Node self) {
-            self.readers.requested(from.name, now);
-            if (self.reading && now - self.readingSince >= READ_TIME) {
+            self.readers.requested(from.name, now());
+            if (self.reading && now() - self.readingSince >= READ_TIME) {
                 Contact contact = self.fault.isEmpty() ? Contact.CURRENT : Contact.LOST;
-                self.send(from, (sender, receiver) -> receiver.readers.reported(sender.name, contact, now));
+                self.send(from, (sender, receiver) -> receiver.readers.reported(sender.name, contact, now()));
             }
         }
 
         /** Delivers a message after 0.5 to 5 ms if both nodes work then. */
         private void send(Node to, Message message) {
-            after((long) (MILLISECOND * (0.5 + 4.5 * random.nextDouble())), () -> {
+            events.after((long) (MILLISECOND * (0.5 + 4.5 * random.nextDouble())), () -> {
                 if (works() && to.works()) {
                     message.deliver(this, to);
                 }
