Print the process's log when a started node does not become ready

The log of the process is gone with the test's directory, so the cause can't be told, and a process that has ended looks like one that is slow. Change: the failure tells whether the process still runs, and its log.

--- a/node/src/test/java/org/plantainshunt/node/NodeProgramTest.java
+++ b/node/src/test/java/org/plantainshunt/node/NodeProgramTest.java
@@ -77,7 +77,7 @@
                     .replace("127.0.0.1:7006", text(platform.address()))
                     .replace("127.0.0.1:7007, 127.0.0.2:7007", "")
                     .replace("spans = off", "spans = " + directory.resolve("spans"))));
-            NodeUnderTest.await(() -> isReady(caller));
+            awaitReady(process, caller);
             try (RawCaller slow = new RawCaller(caller)) {
                 slow.send(RawCaller.post("/front/wait/slow", ""));
                 NodeUnderTest.await(
@@ -95,6 +95,15 @@
         }
     }
 
+    /** Waits until the process answers calls; a failure tells whether it still runs, and what it logged. */
+    private void awaitReady(Process process, InetSocketAddress caller) throws Exception {
+        try {
+            NodeUnderTest.await(() -> isReady(caller));
+        } catch (AssertionError e) {
+            throw new AssertionError("not ready; the process runs: " + process.isAlive() + ", log: " + log(), e);
+        }
+    }
+
     private static boolean isReady(InetSocketAddress caller) {
         try {
             return RawCaller.call(caller, RawCaller.post("/front/browse/ok", ""))
