Let the test of the total limit expect the close that it provokes

Change: the test writes until the connection is closed; what it checks (the outcome, and that the smaller answer arrives) is unchanged. The ledger gives up a request after 1 s instead of waiting 10 s for nothing, and its server sends without delay.

--- a/node/src/test/java/org/plantainshunt/http/BackendConnectionsTest.java
+++ b/node/src/test/java/org/plantainshunt/http/BackendConnectionsTest.java
@@ -210,7 +210,7 @@
         send("2");
         Socket large = accept();
         readRequest(large);
-        write(large, head("2", 900_000) + "l".repeat(300_000));
+        writeUntilClosed(large, head("2", 900_000) + "l".repeat(300_000));
         assertEquals(FailureStage.ANSWER_TOO_LARGE.name(), nextOutcome());
         write(small, "s".repeat(10_000));
         assertEquals("200 " + "s".repeat(60_000), nextOutcome());
@@ -246,8 +246,15 @@
         repeating.start();
         int answered = 0;
         for (int number = 0; number < REPEATED_REQUESTS; number++) {
-            send("r" + number);
-            String outcome = nextOutcome();
+            BackendConnections.Exchange exchange = send("r" + number);
+            String outcome = outcomes.poll(1, TimeUnit.SECONDS);
+            if (outcome == null) {
+                // Bytes in front of the answer have made it unreadable; a node gives up at the deadline.
+                loops.next()
+                        .submit(() -> exchange.abort(FailureStage.TIMED_OUT, "no answer"))
+                        .sync();
+                outcome = nextOutcome();
+            }
             if (outcome.startsWith("200 ")) {
                 assertEquals("200 body of r" + number, outcome, "seed " + seed);
                 answered++;
@@ -261,6 +268,7 @@
         try {
             while (!server.isClosed()) {
                 Socket accepted = server.accept();
+                accepted.setTcpNoDelay(true);
                 Random own = new Random(random.nextLong());
                 Thread thread = new Thread(() -> answerWithRepeats(accepted, own), "repeating-connection");
                 thread.setDaemon(true);
