--- a/review/5/QueuedAtStop.java
+++ b/review/5/QueuedAtStop.java
@@ -38,16 +38,17 @@
         this.fleet = fleet;
     }
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         try (Record record = new Record(Path.of(arguments[0]));
                 Fleet fleet = new Fleet(record)) {
             status = new QueuedAtStop(record, fleet).run(trouble);
             record.report("exit %d", status);
-        } finally {
-            System.exit(status);
+        } catch (Exception e) {
+            e.printStackTrace();
         }
+        System.exit(status);
     }
 
     private int run(boolean trouble) throws Exception {
@@ -69,7 +70,7 @@
         Threads.sleep(2_000);
         long signalAt = System.nanoTime();
         if (trouble) {
-            stopped.signal("TERM");
+            stopped.terminateNode();
         }
         List<Thread> clients = new ArrayList<>();
         for (int index = 0; index < CLIENTS; index++) {
