Close callers' connections in steps, so that a stop loses no answer

Cause: the socket was closed as soon as the last answer was in its buffer. The caller's next request met a closed socket, and the kernel's reset discards what the caller has not read. A request also counted as ended when its answer was queued, and connections were closed as idle while their last answer was still being written.

Change: LingeringClose ends the output and drops what arrives until the caller has closed its side or a time limit has passed. A request is open until its answer is written. After the node has stopped listening, a used connection takes no further requests. The stop waits for connections that are being closed, within its limit.

--- a/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
+++ b/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
@@ -46,6 +46,7 @@
     private final LongSupplier clock;
     private final Set<ServerConnection> connections = new HashSet<>();
     private final AtomicInteger open = new AtomicInteger();
+    private final AtomicInteger closing = new AtomicInteger();
     private final Channel listening;
     private final LoopTimer sweep;
     private volatile boolean draining;
@@ -98,19 +99,24 @@
         return open.get();
     }
 
+    /** Returns the number of connections that are being closed and whose callers may still read responses. */
+    public int closingConnections() {
+        return closing.get();
+    }
+
     /** From now on, closes each connection after the response to its last pipelined request. */
     public void drain() {
         draining = true;
     }
 
     /**
-     * Stops accepting connections, and closes those that have no open request.
+     * Stops accepting connections, and closes each one after the responses to the requests that have arrived on it.
      *
      * <p>A connection that has not had any request stays open, since its first one may be in transit.
      */
     public void stopListening() {
         AcceptQueueDrainer.drainAndClose(listening);
-        loop.execute(() -> new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle));
+        loop.execute(() -> new ArrayList<>(connections).forEach(ServerConnection::finish));
     }
 
     @Override
@@ -140,6 +146,14 @@
         open.decrementAndGet();
     }
 
+    void closingStarted() {
+        closing.incrementAndGet();
+    }
+
+    void closingEnded() {
+        closing.decrementAndGet();
+    }
+
     void opened(ServerConnection connection) {
         connections.add(connection);
     }
--- a/node/src/main/java/org/plantainshunt/http/ServerConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -11,7 +11,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -38,8 +38,9 @@
  * A caller's connection: reads pipelined requests, and writes their responses in request order.
  *
  * <p>A response that closes the connection is the last one; the requests after it are cancelled. A malformed request
- * closes the connection, because the start of the next request cannot be found.
- * Confined to the event loop of the connection.
+ * closes the connection, because the start of the next request cannot be found. A request is open until its response
+ * has been written to the socket, and the socket is closed only by {@link LingeringClose} once there has been a
+ * response. Confined to the event loop of the connection.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LoggerFactory.getLogger(ServerConnection.class);
@@ -58,7 +59,9 @@
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private boolean hadRequest;
+    private boolean finishing;
     private boolean closing;
+    private int unwritten;
     private boolean nextRequestStarted;
     private long lastActive;
 
@@ -91,6 +94,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
+        if (closing) {
+            server.closingEnded();
+        }
         cancelPending();
     }
 
@@ -100,7 +106,7 @@
             if (closing) {
                 return;
             }
-            if (message instanceof HttpRequest request) {
+            if (message instanceof HttpRequest request && !finishing) {
                 onRequestHead(request);
             }
             if (message instanceof HttpContent content && head != null) {
@@ -128,7 +134,7 @@
 
     /**
      * Refuses a request whose header or next part of the body takes too long, and closes a connection that has been
-     * idle for too long. Has no effect while responses are pending.
+     * idle, or has been writing one response, for too long. Has no effect while responses are pending.
      *
      * @param now the current time of the monotonic clock, in nanoseconds
      */
@@ -136,18 +142,25 @@
         if (closing || !pending.isEmpty()) {
             return;
         }
-        boolean reading = head != null || nextRequestStarted;
+        boolean reading = unwritten == 0 && (head != null || nextRequestStarted);
         if (reading && now - lastActive > limits.headerTime().toNanos()) {
             refuseAndClose(REQUEST_TIMEOUT);
         } else if (!reading && now - lastActive > limits.idleTime().toNanos()) {
-            context.close();
+            beginClose();
         }
     }
 
-    /** Closes the connection if it has had requests and has no open one. */
-    void closeIfIdle() {
-        if (hadRequest && pending.isEmpty() && head == null) {
-            context.close();
+    /**
+     * Takes no further request, and closes the connection after the responses to those that have arrived. Has no effect
+     * before the first request.
+     */
+    void finish() {
+        if (!hadRequest || closing) {
+            return;
+        }
+        finishing = true;
+        if (pending.isEmpty() && head == null) {
+            beginClose();
         }
     }
 
@@ -242,15 +255,14 @@
         boolean wrote = false;
         while (!closing && !pending.isEmpty() && pending.peekFirst().response.isPresent()) {
             Pending request = pending.removeFirst();
-            server.requestEnded();
             lastActive = server.now();
             // Requests after this one may have reached a backend server already, so they must get their responses.
-            boolean last = !request.keepAlive || server.draining() && pending.isEmpty() && head == null;
+            boolean last = !request.keepAlive || (server.draining() || finishing) && pending.isEmpty() && head == null;
             write(request, last);
             wrote = true;
             if (last) {
-                closing = true;
                 cancelPending();
+                beginClose();
             }
         }
         if (wrote) {
@@ -259,6 +271,13 @@
         }
     }
 
+    /** Closes the connection once the caller has had time to read what was written. */
+    private void beginClose() {
+        closing = true;
+        server.closingStarted();
+        LingeringClose.begin(context.channel());
+    }
+
     private void write(Pending request, boolean last) {
         BufferedHttpResponse httpResponse = request.response.orElseThrow();
         ByteBuf content = request.headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(httpResponse.body());
@@ -268,10 +287,14 @@
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, httpResponse.body().length);
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.write(response).addListener(ChannelFutureListener.CLOSE);
-        } else {
-            context.write(response);
         }
+        unwritten++;
+        ChannelFuture written = context.write(response);
+        written.addListener(ended -> {
+            unwritten--;
+            lastActive = server.now();
+            server.requestEnded();
+        });
     }
 
     /** Responds after the requests before this one, and then closes the connection. */
@@ -298,6 +321,9 @@
 
     /** Pauses reading while the caller reads its responses too slowly or has too many pending requests. */
     private void updateAutoRead() {
+        if (closing) {
+            return;
+        }
         boolean read = context.channel().isWritable() && pending.size() < MAX_PENDING;
         context.channel().config().setAutoRead(read);
     }
--- a/node/src/main/java/org/plantainshunt/node/CallerEdge.java
+++ b/node/src/main/java/org/plantainshunt/node/CallerEdge.java
@@ -16,10 +16,13 @@
     /** Returns the number of requests whose response is not complete. */
     int openRequests();
 
+    /** Returns the number of connections that are being closed and whose callers may still read responses. */
+    int closingConnections();
+
     /** Starts draining: ends keep-alive on the connections of callers; new requests may be refused as well. */
     void drain();
 
-    /** Stops accepting connections; requests in flight continue. */
+    /** Stops accepting connections and begins to close those that have been used; requests in flight continue. */
     void stopListening();
 
     @Override
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -223,7 +223,8 @@
             Snapshot now = coordinator.snapshot();
             boolean fresh = now.takenAt() - start > 0;
             boolean idle = now.servingCalls() == 0 && now.entryCalls() == 0;
-            if (lastRequestsArrived && fresh && idle && callers.openRequests() == 0) {
+            boolean answersReceived = callers.openRequests() == 0 && callers.closingConnections() == 0;
+            if (lastRequestsArrived && fresh && idle && answersReceived) {
                 return;
             }
             try {
--- a/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
+++ b/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
@@ -129,6 +129,11 @@
             return callers.openRequests() + outbound.openRequests();
         }
 
+        @Override
+        public int closingConnections() {
+            return 0;
+        }
+
         @Override
         public void drain() {
             callers.drain();
