Close the connections of the standalone server in steps as well

Callers would see: during a planned stop, a caller that still reads its last answer and sends its next request is reset and loses the rest.

Cause: RequestSequencer lingered only while a request was incomplete.

Change: each close goes through LingeringClose; the stop waits for connections that are being closed.

--- a/node/src/main/java/org/plantainshunt/http/CallerServer.java
+++ b/node/src/main/java/org/plantainshunt/http/CallerServer.java
@@ -20,11 +20,14 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.plantainshunt.call.CallReply;
 import org.plantainshunt.call.InboundCall;
 import org.plantainshunt.protocol.Header;
@@ -66,6 +69,9 @@
     /** Longer than any call; without it, a caller that never reads its response would keep a request open forever. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
+    /** The time in which callers can read their last responses and close idle connections when the server closes. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
+
     /** Disables Ratpack's body limit: {@link BodyReader} enforces the limits and reports which one was exceeded. */
     private static final long UNBOUNDED = Long.MAX_VALUE;
 
@@ -81,6 +87,7 @@
     private final AtomicLong heldBytes = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
     private final RatpackServer server;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final InetSocketAddress listenAddress;
     private final AtomicReference<Channel> listeningChannel = new AtomicReference<>();
     private volatile boolean draining;
@@ -126,7 +133,10 @@
                         .maxHeaderSize(MAX_DECODED_HEADER_BYTES))
                 .handlers(chain -> chain.all(this::handle)));
         this.listenAddress = new InetSocketAddress(address.getAddress(), server.getBindPort());
-        HttpPipelineExtension.register(listenAddress, this::decodeErrorResponse);
+        HttpPipelineExtension.register(listenAddress, connection -> {
+            connections.add(connection);
+            return new RequestSequencer(this::decodeErrorResponse);
+        });
     }
 
     /** Returns the server, whose execution controller also runs the node's requests to the backend server. */
@@ -139,6 +149,11 @@
         return open.get();
     }
 
+    /** Returns the number of connections that are being closed and whose callers may still read responses. */
+    public int closingConnections() {
+        return (int) connections.stream().filter(LingeringClose::isClosing).count();
+    }
+
     /**
      * Refuses new requests from now on and asks callers to close their connections.
      *
@@ -159,6 +174,7 @@
     @Override
     public void close() throws IOException {
         HttpPipelineExtension.unregister(listenAddress);
+        connections.close().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
         try {
             server.stop();
         } catch (Exception e) {
--- a/node/src/main/java/org/plantainshunt/http/HttpPipelineExtension.java
+++ b/node/src/main/java/org/plantainshunt/http/HttpPipelineExtension.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
 
@@ -27,8 +26,7 @@
  */
 public final class HttpPipelineExtension extends ChannelInitializerExtension {
     private static final String HANDLER_NAME = "plantainshunt-guard";
-    private static final Map<SocketAddress, Function<Throwable, HttpResponse>> DECODE_ERROR_RESPONSES =
-            new ConcurrentHashMap<>();
+    private static final Map<SocketAddress, Function<Channel, RequestSequencer>> SEQUENCERS = new ConcurrentHashMap<>();
 
     /** Makes Netty load the extension; must be called before the process creates its first connection or server. */
     public static void enable() {
@@ -39,14 +37,14 @@
      * Adds a {@link RequestSequencer} to each connection that is accepted at a listening address from now on.
      *
      * @param listening the local address of the listening channel
-     * @param decodeErrorResponse builds the response to a request that cannot be decoded
+     * @param sequencer creates the handler of a new connection, on its event loop
      */
-    static void register(SocketAddress listening, Function<Throwable, HttpResponse> decodeErrorResponse) {
-        DECODE_ERROR_RESPONSES.put(listening, decodeErrorResponse);
+    static void register(SocketAddress listening, Function<Channel, RequestSequencer> sequencer) {
+        SEQUENCERS.put(listening, sequencer);
     }
 
     static void unregister(SocketAddress listening) {
-        DECODE_ERROR_RESPONSES.remove(listening);
+        SEQUENCERS.remove(listening);
     }
 
     @Override
@@ -66,9 +64,9 @@
             ChannelPipeline pipeline = context.pipeline();
             SocketAddress listening = context.channel().parent().localAddress();
             Optional<String> last = lastCodec(pipeline);
-            if (DECODE_ERROR_RESPONSES.containsKey(listening) && last.isPresent()) {
-                pipeline.addAfter(
-                        last.get(), HANDLER_NAME, new RequestSequencer(DECODE_ERROR_RESPONSES.get(listening)));
+            Function<Channel, RequestSequencer> sequencer = SEQUENCERS.get(listening);
+            if (sequencer != null && last.isPresent()) {
+                pipeline.addAfter(last.get(), HANDLER_NAME, sequencer.apply(context.channel()));
             }
             super.channelActive(context);
             pipeline.remove(this);
--- a/node/src/main/java/org/plantainshunt/http/RequestSequencer.java
+++ b/node/src/main/java/org/plantainshunt/http/RequestSequencer.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -25,8 +23,6 @@
  * event loop.
  */
 final class RequestSequencer extends ChannelDuplexHandler {
-    private static final long LINGER_TIMEOUT_MILLISECONDS = 1000;
-
     private final Function<Throwable, HttpResponse> decodeErrorResponse;
     private final Deque<Object> held = new ArrayDeque<>();
     private boolean receiving;
@@ -34,7 +30,6 @@
     private boolean forwarding;
     private boolean readRequested;
     private boolean closing;
-    private boolean lingering;
 
     RequestSequencer(Function<Throwable, HttpResponse> decodeErrorResponse) {
         this.decodeErrorResponse = decodeErrorResponse;
@@ -42,47 +37,30 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (lingering) {
+        if (closing) {
             ReferenceCountUtil.release(message);
-            if (message instanceof LastHttpContent) {
-                context.close();
-            }
             return;
         }
         held.add(message);
         forwardHeld(context);
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext context) {
-        if (lingering) {
-            context.read();
-        }
-        context.fireChannelReadComplete();
-    }
-
-    /**
-     * Closes the connection, but first drains the rest of a request that has not arrived completely (a lingering
-     * close): closing a socket with unread bytes resets the connection, and the caller could lose the refusal that was
-     * written before.
-     */
+    /** Closes the connection in steps, and drops the requests that have not been forwarded. */
     @Override
     public void close(ChannelHandlerContext context, ChannelPromise promise) {
-        boolean requestIncomplete =
-                receiving && !responsePending && context.channel().isActive();
-        if (!requestIncomplete || lingering || !(context.channel() instanceof SocketChannel socket)) {
+        if (!context.channel().isActive()) {
             context.close(promise);
             return;
         }
-        lingering = true;
-        socket.shutdownOutput();
-        context.executor().schedule(() -> context.close(promise), LINGER_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
-        context.read();
+        closing = true;
+        releaseHeld();
+        context.channel().closeFuture().addListener(closed -> promise.trySuccess());
+        LingeringClose.begin(context.channel());
     }
 
     @Override
     public void read(ChannelHandlerContext context) {
-        if (held.isEmpty()) {
+        if (closing || held.isEmpty()) {
             context.read();
         } else {
             readRequested = true;
@@ -102,9 +80,13 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
+        releaseHeld();
+        context.fireChannelInactive();
+    }
+
+    private void releaseHeld() {
         held.forEach(ReferenceCountUtil::release);
         held.clear();
-        context.fireChannelInactive();
     }
 
     private void responseWritten(ChannelHandlerContext context) {
@@ -155,7 +137,7 @@
     private void refuse(ChannelHandlerContext context, Throwable cause) {
         closing = true;
         if (receiving && !responsePending) {
-            context.close();
+            context.channel().close();
             return;
         }
         receiving = false;
--- a/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
+++ b/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
@@ -131,7 +131,7 @@
 
         @Override
         public int closingConnections() {
-            return 0;
+            return callers.closingConnections() + outbound.closingConnections();
         }
 
         @Override
--- a/node/src/test/java/org/plantainshunt/node/RawCaller.java
+++ b/node/src/test/java/org/plantainshunt/node/RawCaller.java
@@ -59,6 +59,16 @@
         return new Answer(Integer.parseInt(line.split(" ")[1]), headers, new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    /** Reads a response with a length; runs an action when the last part of its body is left. Returns the body's length. */
+    int readInTwoParts(int lastPart, Action action) throws Exception {
+        InputStream in = socket.getInputStream();
+        FakeHttpServer.line(in);
+        int length = Integer.parseInt(FakeHttpServer.headers(in).get("content-length"));
+        int read = in.readNBytes(length - lastPart).length;
+        action.run();
+        return read + in.readNBytes(lastPart).length;
+    }
+
     boolean isAnswered() throws IOException {
         return socket.getInputStream().available() > 0;
     }
@@ -88,6 +98,12 @@
         return body.toByteArray();
     }
 
+    /** Something that a test does between two steps. */
+    @FunctionalInterface
+    interface Action {
+        void run() throws Exception;
+    }
+
     /** A response of the node. */
     record Answer(int status, Map<String, String> headers, String body) {
         int result() {
