End the calls of a stopping node before the node ends

Cause: the stopping node passed its callers' deadlines on unchanged, so other nodes kept requests for longer than it would live, and at its time limit it closed its callers' connections with requests open on them.

--- a/node/src/main/java/org/plantainshunt/call/CallCoordinator.java
+++ b/node/src/main/java/org/plantainshunt/call/CallCoordinator.java
@@ -202,6 +202,15 @@
         });
     }
 
+    /**
+     * Ends the calls of this node's callers before the process stops.
+     *
+     * @param endAt the time at which all calls must end, in nanoseconds of the node's monotonic clock
+     */
+    public void stop(long endAt) {
+        worker.submit(() -> entry.stop(endAt));
+    }
+
     /** Returns the last snapshot of the node's state, at most a second old. */
     public Snapshot snapshot() {
         return snapshot;
--- a/node/src/main/java/org/plantainshunt/call/EntryCall.java
+++ b/node/src/main/java/org/plantainshunt/call/EntryCall.java
@@ -35,6 +35,11 @@
     /** The VM that the call was last sent to. */
     String lastServer = "";
 
+    /** Whether the deadline was shortened because this process stops. */
+    boolean endsWithProcess;
+    /** Whether the serving node was asked to give up the call because this process stops. */
+    boolean withdrawn;
+
     EntrySide.Attempt attempt;
     HopTracer.Hop hop;
     /** The request running here whose retry allowance the call shares. */
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -38,8 +38,9 @@
  * <p>Each call gets exactly one reply. A call is retried only within its allowance and the node's retry budget, and
  * only if the earlier attempt did not run or the call may run twice. If an attempt was answered with an error and no
  * later one is answered, the caller gets that error. An at-most-once call with a ticket is sent only to the VM that
- * issued the ticket, and "not run" is reported for it only if the issuing process has voided the ticket. Confined to
- * the decision thread.
+ * issued the ticket, and "not run" is reported for it only if the issuing process has voided the ticket. When the
+ * process stops, no call's deadline is later than the time until which answers can still be delivered, so each call gets
+ * its reply before that. Confined to the decision thread.
  */
 public final class EntrySide {
     /** How long past the deadline to wait for the serving node's result, which is more precise than a timeout here. */
@@ -83,6 +84,7 @@
     private final CallPreparation preparation;
     private final ServiceLevels levels;
     private long nextId;
+    private long callsEndAt = Long.MAX_VALUE;
 
     EntrySide(
             String ownVm,
@@ -124,13 +126,35 @@
             return () -> {};
         }
         preparation.retryBudget(call).attempted(environment.now());
+        endWithProcess(call);
         route(call);
         return () -> environment.taskRunner().submit(() -> cancel(call));
     }
 
+    /**
+     * Lets no call last longer than this process. Calls sent from now on carry the shortened deadline; those sent before
+     * are withdrawn from their serving nodes when it passes.
+     *
+     * @param endAt the time at which all calls must end
+     */
+    void stop(long endAt) {
+        callsEndAt = endAt;
+        calls.values().forEach(this::endWithProcess);
+    }
+
+    private void endWithProcess(EntryCall call) {
+        if (call.deadline > callsEndAt) {
+            call.deadline = callsEndAt;
+            call.endsWithProcess = true;
+        }
+    }
+
     /** Ends calls whose deadline has passed. */
     void tick(long now) {
         for (EntryCall call : new ArrayList<>(calls.values())) {
+            if (call.endsWithProcess && !call.withdrawn && now >= call.deadline) {
+                withdraw(call);
+            }
             if (now >= call.deadline + RESULT_GRACE_PERIOD) {
                 timeOut(call);
             }
@@ -353,6 +377,11 @@
         if (!end(attempt, end, message.load(), unused)) {
             return;
         }
+        if (call.withdrawn) {
+            boolean notRun = refusal.code().runState() == RunState.NOT_RUN;
+            refuse(call, withdrawnRefusal(notRun ? ResultCode.DRAINING : ResultCode.OUTCOME_UNKNOWN));
+            return;
+        }
         if (refusal.code() == ResultCode.DEADLINE_PASSED_AFTER_HANDOVER) {
             shedding.ended(call.kind, true, environment.now());
         }
@@ -429,6 +458,14 @@
         return true;
     }
 
+    /** Makes the serving node refuse the call if it has not been handed over; otherwise the call times out soon. */
+    private void withdraw(EntryCall call) {
+        call.withdrawn = true;
+        if (call.attempt != null && call.attempt.sent) {
+            call.attempt.cancel();
+        }
+    }
+
     private void timeOut(EntryCall call) {
         Attempt attempt = call.attempt;
         if (attempt == null || !attempt.sent) {
@@ -436,10 +473,18 @@
             return;
         }
         attempt.cancel();
+        if (call.withdrawn) {
+            refuse(call, withdrawnRefusal(ResultCode.OUTCOME_UNKNOWN));
+            return;
+        }
         shedding.ended(call.kind, true, environment.now());
         refuse(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no verdict of the serving node in time"));
     }
 
+    private static Refusal withdrawnRefusal(ResultCode code) {
+        return Refusal.of(code, "this node stopped before the call ended");
+    }
+
     private void cancel(EntryCall call) {
         if (call.done) {
             return;
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -44,7 +44,8 @@
  * A running node: the worker threads, servers and clients of one process.
  *
  * <p>A graceful shutdown makes the node not ready, announces that it is draining, completes the calls in flight and
- * closes. It waits for calls until {@link NodeComponents.StopTimes#timeout} at the latest. Thread-safe.
+ * closes. Calls end by {@link NodeComponents.StopTimes#calls}, and replies are delivered until
+ * {@link NodeComponents.StopTimes#timeout} at the latest. Thread-safe.
  */
 public final class Node implements AutoCloseable {
     private static final Logger LOGGER = LoggerFactory.getLogger(Node.class);
@@ -203,13 +204,14 @@
         LOGGER.info("node {} is stopping", settings.name());
         stopping = true;
         callers.drain();
-        awaitIdle();
-        closeComponents();
+        long start = System.nanoTime();
+        coordinator.stop(start + stopTimes.calls().toNanos());
+        awaitIdle(start);
+        closeComponents(start);
         LOGGER.info("node {} stopped", settings.name());
     }
 
-    private void awaitIdle() {
-        long start = System.nanoTime();
+    private void awaitIdle(long start) {
         while (System.nanoTime() - start < stopTimes.timeout().toNanos()) {
             long elapsed = System.nanoTime() - start;
             if (elapsed >= stopTimes.serving().toNanos()) {
@@ -234,15 +236,20 @@
                 return;
             }
         }
-        LOGGER.warn("calls are still open after the shutdown timeout");
+        LOGGER.warn(
+                "shutdown timeout: {} requests of callers are open, {} connections are being closed",
+                callers.openRequests(),
+                callers.closingConnections());
     }
 
-    private void closeComponents() {
+    private void closeComponents(long start) {
+        Duration elapsed = Duration.ofNanos(System.nanoTime() - start);
+        Duration left = stopTimes.timeout().minus(elapsed);
         closeQuietly(callers);
         closeQuietly(controlWorker);
         closeQuietly(coordinator);
         closeQuietly(backendServer);
-        closeQuietly(inner);
+        closeQuietly(() -> inner.close(left));
         closeQuietly(platform);
         closeQuietly(admin);
         closeQuietly(telemetry);
--- a/node/src/main/java/org/plantainshunt/node/NodeComponents.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeComponents.java
@@ -74,7 +74,8 @@
      * @param serving how long calls for the backend server are still accepted
      * @param listening how long new connections are still accepted
      * @param lastRequests how long after {@code listening} requests may still arrive on the connections accepted last
-     * @param timeout the timeout of the shutdown, after which the node closes even if calls are open
+     * @param calls how long callers' requests may take; their replies follow at once
+     * @param timeout the timeout of the shutdown, after which the node closes even if replies are not delivered
      */
-    record StopTimes(Duration serving, Duration listening, Duration lastRequests, Duration timeout) {}
+    record StopTimes(Duration serving, Duration listening, Duration lastRequests, Duration calls, Duration timeout) {}
 }
--- a/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
+++ b/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
@@ -38,6 +38,8 @@
     private static final Duration LAST_REQUESTS_TIME = Duration.ofSeconds(1);
 
     /** Longer than the longest deadline of a call, which is 30 s. */
+    private static final Duration CALLS_TIMEOUT = Duration.ofSeconds(32);
+
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(35);
 
     private final NodeSettings settings;
@@ -94,7 +96,7 @@
 
     @Override
     public StopTimes stopTimes() {
-        return new StopTimes(Duration.ZERO, PROPAGATION_TIME, LAST_REQUESTS_TIME, STOP_TIMEOUT);
+        return new StopTimes(Duration.ZERO, PROPAGATION_TIME, LAST_REQUESTS_TIME, CALLS_TIMEOUT, STOP_TIMEOUT);
     }
 
     private CallerServer callerServer(
--- a/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/InnerEndpoint.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -56,11 +57,10 @@
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(Frames.MAXIMUM_CHUNK_BYTES, 2 * Frames.MAXIMUM_CHUNK_BYTES);
 
-    /**
-     * Timeout of each stage of closing, in seconds: waiting for the peers to receive what was sent, then stopping the
-     * event loops.
-     */
-    private static final long CLOSE_TIMEOUT_SECONDS = 5;
+    /** Longest wait in each stage of closing: for the peers to receive what was sent, and for the event loops to stop. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+
+    private static final long MINIMUM_CLOSE_MILLISECONDS = 50;
 
     /**
      * Local address of outgoing connections, so that a VM with several addresses connects from the one that other nodes
@@ -185,19 +185,25 @@
         context.connections().announceDraining();
     }
 
+    /** Closes like {@link #close(Duration)}, with the longest limit. */
+    @Override
+    public void close() {
+        close(CLOSE_TIMEOUT);
+    }
+
     /**
      * Stops listening and closes all connections. Answers and messages queued before are still sent; open calls end as
-     * if their connections were lost. Blocks until done, for at most 10 s, and must not be called from a callback.
+     * if their connections were lost. Blocks until done, and must not be called from a callback.
+     *
+     * @param limit how long to wait for the peers to receive what was sent, at most 5 s
      */
-    @Override
-    public void close() {
+    public void close(Duration limit) {
+        long wait = Math.max(MINIMUM_CLOSE_MILLISECONDS, Math.min(limit.toMillis(), CLOSE_TIMEOUT.toMillis()));
         channels.close(channel -> !context.connections().containsChannel(channel));
         context.connections().closeWhenSent();
-        channels.newCloseFuture().awaitUninterruptibly(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        channels.newCloseFuture().awaitUninterruptibly(wait);
         channels.close();
-        eventLoops
-                .shutdownGracefully(0, CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                .awaitUninterruptibly(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        eventLoops.shutdownGracefully(0, wait, TimeUnit.MILLISECONDS).awaitUninterruptibly(wait);
     }
 
     private void initializeAccepted(Channel channel) {
