--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -14,7 +14,7 @@
  * <p>Invariants: at most {@link #limit} calls run, except while calls that started under a higher limit end. No call is
  * refused for lack of space while a less important one waits. A slot is given only to a call whose deadline has not
  * passed. A call is refused for its priority only while the slots are full and the queue holds the target delay's worth
- * of work.
+ * of work. A call holds its slot until it is finished; {@link #callsToGiveUp} bounds that time.
  *
  * <p>All times are nanoseconds of one monotonic clock. Confined to one thread; the consumer of refusals must not call
  * back into the queue.
@@ -34,6 +34,7 @@
     private final WaitingCalls waiting = new WaitingCalls();
     private final ServiceTimes times = new ServiceTimes();
     private final LongWork longWork = new LongWork(times);
+    private final OverdueCalls overdue = new OverdueCalls();
     private final AdmissionLevel level = new AdmissionLevel();
     private final ConcurrencyLimit limit;
     private final RetryAfter retryAfter = new RetryAfter(level);
@@ -120,6 +121,7 @@
             level.ended();
         }
         longWork.ended(entry);
+        overdue.ended(entry);
         running--;
         entry.state = CallEntry.State.ENDED;
         evictExcess("the backend server sheds");
@@ -173,6 +175,16 @@
         return longWork.toCancel((int) (service.longWorkShare() * limit.current()));
     }
 
+    /**
+     * Returns the running calls whose outcome is no longer waited for, because their deadline passed long ago: the
+     * connection to the backend server may be dead, or the answer may have no end.
+     *
+     * <p>Each call is returned once; it holds its slot until {@link #finished}.
+     */
+    public List<CallEntry> callsToGiveUp(long now) {
+        return overdue.toGiveUp(now);
+    }
+
     /** Returns the admission level, 1 to 512: the number of priority values that entry nodes may send. */
     public int level() {
         return level.level();
@@ -272,6 +284,7 @@
         entry.start(now);
         running++;
         longWork.started(entry, service.longWorkAfter(), now);
+        overdue.started(entry);
     }
 
     /**
--- a/core/src/test/java/org/plantainshunt/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/plantainshunt/admission/AdmissionQueueTest.java
@@ -56,6 +56,24 @@
         assertEquals(List.of(second), queue.startable(131 * MILLISECOND));
     }
 
+    /** Guards against slots that calls without an outcome hold for ever. */
+    @Test
+    void givesUpCallsThatAreLongOverdueOnce() {
+        queue = queue(2, 100);
+        CallEntry lost = call(true, 1_000, 0);
+        CallEntry ended = call(true, 1_000, 0);
+        queue.offer(lost, 0);
+        queue.offer(ended, 0);
+        long limit = 1_000 + OverdueCalls.LIMIT.toMillis();
+        assertEquals(List.of(), queue.callsToGiveUp((limit - 1) * MILLISECOND));
+        queue.finished(ended, CallEnd.ANSWERED, (limit - 1) * MILLISECOND);
+        assertEquals(List.of(lost), queue.callsToGiveUp(limit * MILLISECOND));
+        assertEquals(List.of(), queue.callsToGiveUp(limit * MILLISECOND));
+        assertEquals(1, queue.running());
+        queue.finished(lost, CallEnd.FAILED, limit * MILLISECOND);
+        assertEquals(0, queue.running());
+    }
+
     /** Guards against work for deadlines that cannot be met, and against a kind that is refused forever. */
     @Test
     void refusesTooShortDeadlinesOnlyWhileSlotsAreFullAndTheEstimateIsFresh() {
--- a/node/src/main/java/org/plantainshunt/call/CallRecorder.java
+++ b/node/src/main/java/org/plantainshunt/call/CallRecorder.java
@@ -24,6 +24,9 @@
     /** Called when a call that was handed over frees its slot; {@code now} is in nanoseconds. */
     default void ended(CallEntry entry, CallEnd end, long now) {}
 
+    /** Called when the serving node gives up a call that is long past its deadline; {@code now} is in nanoseconds. */
+    default void gaveUp(CallEntry entry, CallMessage message, long now) {}
+
     /** Called when a call is handed over to the backend server; {@code now} is in nanoseconds. */
     void started(CallEntry entry, CallMessage message, long now);
 
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -180,7 +180,10 @@
         return draining;
     }
 
-    /** Starts calls that may start, abandons those past their deadline, and stops long work that blocks short work. */
+    /**
+     * Starts calls that may start, abandons those past their deadline, stops long work that blocks short work, and
+     * closes the exchanges of calls that are long overdue, which frees their slots.
+     */
     void tick(long now) {
         if (queue == null) {
             return;
@@ -197,6 +200,9 @@
                 abandon(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no whole answer in time"), now);
             }
         }
+        for (CallEntry entry : queue.callsToGiveUp(now)) {
+            giveUp(entry, now);
+        }
     }
 
     /** Returns the load report to send with an answer or refusal, which is empty if the call's kind is unknown. */
@@ -363,6 +369,16 @@
         replyRefused(call, refusal, now);
     }
 
+    /** Closes the exchange of a call that is long overdue; its failure then frees the slot. */
+    private void giveUp(CallEntry entry, long now) {
+        ServedCall call = calls.get(entry);
+        if (call != null) {
+            call.givenUp = true;
+            environment.recorder().gaveUp(entry, call.message, now);
+            backendServer.cancel(entry.id());
+        }
+    }
+
     private void refusedByQueue(AdmissionQueue.Refused refused) {
         ServedCall call = calls.get(refused.entry());
         if (call != null) {
@@ -442,7 +458,7 @@
             byTicket.remove(ticket);
             tickets.unknown(ticket, refusal, now);
         }
-        ended(call, call.replied ? CallEnd.CANCELLED : CallEnd.FAILED, now);
+        ended(call, call.replied && !call.givenUp ? CallEnd.CANCELLED : CallEnd.FAILED, now);
         replyRefused(call, refusal, now);
     }
 
@@ -499,6 +515,8 @@
         private HopTracer.Hop hop;
         private boolean handedOver;
         private boolean replied;
+        /** Whether the node has stopped waiting for the outcome, which says nothing about the time that calls take. */
+        private boolean givenUp;
 
         ServedCall(CallMessage message, Kind kind, CallEntry entry, AnswerListener reply) {
             this.message = message;
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -105,6 +105,18 @@
         trace.ifPresent(recorder -> recorder.ended(entry, end, now));
     }
 
+    @Override
+    public void gaveUp(CallEntry entry, CallMessage message, long now) {
+        registry.counter("serving.given-up").inc();
+        if (servingLines.tryAcquire(now)) {
+            write(() -> DECISIONS.warn(
+                    "no outcome long after the deadline; the connection to the backend server is closed",
+                    StructuredArguments.kv("requestId", message.requestId()),
+                    StructuredArguments.kv("service", message.service()),
+                    StructuredArguments.kv("overdueMs", milliseconds(now - entry.deadline()))));
+        }
+    }
+
     @Override
     public void started(CallEntry entry, CallMessage message, long now) {
         trace.ifPresent(recorder -> recorder.started(entry, now));
