Split EntrySide: CallsEnd and EarlierDeliveries hold two of its decisions

No change of behaviour; StoppingEntryTest, FaultScheduleTest, CancelledCallTest and PlatformNodeTest.stop* pass.

--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainshunt.admission.FailureShedding;
@@ -39,8 +38,7 @@
  * only if the earlier attempt did not run or the call may run twice. If an attempt was answered with an error and no
  * later one is answered, the caller gets that error. An at-most-once call with a ticket is sent only to the VM that
  * issued the ticket, and "not run" is reported for it only if the issuing process has voided the ticket. When the
- * process stops, no call's deadline is later than the time until which answers can still be delivered, so each call gets
- * its reply before that. Confined to the decision thread.
+ * process stops, each call ends while its reply can still be delivered. Confined to the decision thread.
  */
 public final class EntrySide {
     /** How long past the deadline to wait for the serving node's result, which is more precise than a timeout here. */
@@ -63,15 +61,6 @@
      */
     private static final int RETRY_COST_AFTER_POSSIBLE_RUN = 4;
 
-    /** Refusals for which the ticket table has voided the ticket, so that the call can never run later. */
-    private static final Set<ResultCode> TICKET_VOIDING_CODES = Set.of(
-            ResultCode.OVERLOADED,
-            ResultCode.DEADLINE_TOO_SHORT,
-            ResultCode.DRAINING,
-            ResultCode.CANCELLED_BEFORE_RUN,
-            ResultCode.TICKET_VOID,
-            ResultCode.CONNECT_FAILED);
-
     private final String ownVm;
     private final ServingSide serving;
     private final Environment environment;
@@ -83,8 +72,8 @@
     private final Map<Long, EntryCall> calls = new HashMap<>();
     private final CallPreparation preparation;
     private final ServiceLevels levels;
+    private final CallsEnd callsEnd = new CallsEnd();
     private long nextId;
-    private long callsEndAt = Long.MAX_VALUE;
 
     EntrySide(
             String ownVm,
@@ -126,33 +115,21 @@
             return () -> {};
         }
         preparation.retryBudget(call).attempted(environment.now());
-        endWithProcess(call);
+        callsEnd.limit(call);
         route(call);
         return () -> environment.taskRunner().submit(() -> cancel(call));
     }
 
-    /**
-     * Lets no call last longer than this process. Calls sent from now on carry the shortened deadline; those sent before
-     * are withdrawn from their serving nodes when it passes.
-     *
-     * @param endAt the time at which all calls must end
-     */
+    /** Ends all calls by a time, before this process ends. */
     void stop(long endAt) {
-        callsEndAt = endAt;
-        calls.values().forEach(this::endWithProcess);
-    }
-
-    private void endWithProcess(EntryCall call) {
-        if (call.deadline > callsEndAt) {
-            call.deadline = callsEndAt;
-            call.endsWithProcess = true;
-        }
+        callsEnd.set(endAt);
+        calls.values().forEach(callsEnd::limit);
     }
 
     /** Ends calls whose deadline has passed. */
     void tick(long now) {
         for (EntryCall call : new ArrayList<>(calls.values())) {
-            if (call.endsWithProcess && !call.withdrawn && now >= call.deadline) {
+            if (CallsEnd.isWithdrawalDue(call, now)) {
                 withdraw(call);
             }
             if (now >= call.deadline + RESULT_GRACE_PERIOD) {
@@ -378,8 +355,7 @@
             return;
         }
         if (call.withdrawn) {
-            boolean notRun = refusal.code().runState() == RunState.NOT_RUN;
-            refuse(call, withdrawnRefusal(notRun ? ResultCode.DRAINING : ResultCode.OUTCOME_UNKNOWN));
+            refuse(call, CallsEnd.refusal(refusal.code().runState()));
             return;
         }
         if (refusal.code() == ResultCode.DEADLINE_PASSED_AFTER_HANDOVER) {
@@ -390,7 +366,7 @@
             membership.draining(upstream.vm().name(), upstream.incarnation(), environment.now());
         }
         if (call.inbound.ticket().isPresent() && call.kind.atMostOnce()) {
-            replyRefused(call, downgradeNotRun(refusal, message.fromServingNode()));
+            replyRefused(call, EarlierDeliveries.downgradeNotRun(refusal, message.fromServingNode()));
             return;
         }
         call.lastRefusal = Optional.of(refusal);
@@ -402,22 +378,6 @@
         retry(call, attempt, share.get(), refusal.code(), refusal.detail());
     }
 
-    /**
-     * Returns the refusal to report for a call that may have been delivered before. "Not run" is reported only if its
-     * ticket is void, and replaced by "outcome unknown" otherwise.
-     */
-    private static Refusal downgradeNotRun(Refusal refusal, boolean fromServingNode) {
-        if (refusal.code().runState() != RunState.NOT_RUN) {
-            return refusal;
-        }
-        if (fromServingNode && TICKET_VOIDING_CODES.contains(refusal.code())) {
-            return refusal;
-        }
-        String detail = "an earlier delivery may have run; this one met "
-                + refusal.code().number() + " " + refusal.detail();
-        return new Refusal(ResultCode.OUTCOME_UNKNOWN, detail, refusal.retryAfterMilliseconds());
-    }
-
     private Optional<Refusal> downstreamRefusal(EntryCall call, long now) {
         return levels.check(call.kind, call.priority.value(), now);
     }
@@ -474,17 +434,13 @@
         }
         attempt.cancel();
         if (call.withdrawn) {
-            refuse(call, withdrawnRefusal(ResultCode.OUTCOME_UNKNOWN));
+            refuse(call, CallsEnd.refusal(RunState.UNKNOWN));
             return;
         }
         shedding.ended(call.kind, true, environment.now());
         refuse(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no verdict of the serving node in time"));
     }
 
-    private static Refusal withdrawnRefusal(ResultCode code) {
-        return Refusal.of(code, "this node stopped before the call ended");
-    }
-
     private void cancel(EntryCall call) {
         if (call.done) {
             return;
@@ -502,7 +458,7 @@
      */
     private void refuse(EntryCall call, Refusal refusal) {
         boolean earlierDelivery = call.inbound.ticket().isPresent() || call.mayHaveRun;
-        replyRefused(call, earlierDelivery ? downgradeNotRun(refusal, false) : refusal);
+        replyRefused(call, earlierDelivery ? EarlierDeliveries.downgradeNotRun(refusal, false) : refusal);
     }
 
     /** Replies with the refusal, or with the last error answer if there is one and the caller has not cancelled. */
--- a/node/src/test/java/org/plantainshunt/http/ServerStopTest.java
+++ b/node/src/test/java/org/plantainshunt/http/ServerStopTest.java
@@ -58,7 +58,7 @@
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    /** Guards against a reset that discards responses which a slow caller has not read when it sends its next request. */
+    /** Guards against a reset that discards responses which a slow caller reads after its next request. */
     @Test
     void slowCallerThatPipelinesGetsEveryResponse() throws Exception {
         try (Socket caller = connect()) {
--- a/node/src/test/java/org/plantainshunt/node/RawCaller.java
+++ b/node/src/test/java/org/plantainshunt/node/RawCaller.java
@@ -59,7 +59,7 @@
         return new Answer(Integer.parseInt(line.split(" ")[1]), headers, new String(body, StandardCharsets.ISO_8859_1));
     }
 
-    /** Reads a response with a length; runs an action when the last part of its body is left. Returns the body's length. */
+    /** Reads a response with a length, and runs an action before the last part of its body. Returns the length. */
     int readInTwoParts(int lastPart, Action action) throws Exception {
         InputStream in = socket.getInputStream();
         FakeHttpServer.line(in);
