Apply the limits in force to each request of an open connection

Cause: a connection took its limits when it was accepted.

Evidence: PipelinedServerTest.openConnectionFollowsALargerBodyLimit failed without the change and passes with it. The decoder's header limit still is that of the connection's start.

--- a/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
+++ b/node/src/main/java/org/plantainshunt/http/PipelinedServer.java
@@ -70,7 +70,7 @@
      * @param loop the event loop for all connections, which the caller shuts down
      * @param address the address to listen on
      * @param handler handles the requests
-     * @param limits returns the limits for a new connection
+     * @param limits returns the limits in force
      * @param clock the node's monotonic clock, in nanoseconds
      * @throws IOException if the address cannot be bound
      */
@@ -130,6 +130,10 @@
         return handler;
     }
 
+    RequestLimits limits() {
+        return limits.get();
+    }
+
     boolean draining() {
         return draining;
     }
@@ -171,8 +175,9 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        RequestLimits connectionLimits = limits.get();
-                        ServerConnection connection = new ServerConnection(PipelinedServer.this, connectionLimits);
+                        // The decoder keeps its limits; those on bodies and times follow the configuration.
+                        RequestLimits connectionLimits = limits();
+                        ServerConnection connection = new ServerConnection(PipelinedServer.this);
                         channel.pipeline()
                                 .addLast(
                                         connection.firstByteDetector(),
--- a/node/src/main/java/org/plantainshunt/http/ServerConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -53,9 +53,11 @@
     private static final int HEADER_TOO_LARGE = 431;
 
     private final PipelinedServer server;
-    private final RequestLimits limits;
     private final Deque<Pending> pending = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    /** The limits of the current request; those in force at its beginning. */
+    private RequestLimits limits;
+
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private boolean hadRequest;
@@ -65,9 +67,9 @@
     private boolean nextRequestStarted;
     private long lastActive;
 
-    ServerConnection(PipelinedServer server, RequestLimits limits) {
+    ServerConnection(PipelinedServer server) {
         this.server = server;
-        this.limits = limits;
+        this.limits = server.limits();
     }
 
     /** Returns a handler that detects the first byte of a request, since the codec buffers incomplete headers. */
@@ -172,6 +174,7 @@
         hadRequest = true;
         nextRequestStarted = false;
         lastActive = server.now();
+        limits = server.limits();
         Optional<Integer> refused = errorStatus(request);
         if (refused.isPresent()) {
             refuseAndClose(refused.get());
--- a/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
+++ b/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
@@ -32,6 +32,7 @@
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final BlockingQueue<ReceivedRequest> received = new LinkedBlockingQueue<>();
+    private volatile RequestLimits limits = LIMITS;
     private PipelinedServer server;
 
     @BeforeEach
@@ -44,7 +45,7 @@
                     received.add(request);
                     return request.cancelled()::countDown;
                 },
-                () -> LIMITS,
+                () -> limits,
                 System::nanoTime);
     }
 
@@ -105,6 +106,19 @@
                 413);
     }
 
+    /** Guards against a connection from before the first configuration that refuses proper bodies until it closes. */
+    @Test
+    void openConnectionFollowsALargerBodyLimit() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, get("/before"));
+            next().response().accept(text("before"));
+            readUntil(caller, "before");
+            limits = new RequestLimits(1_000, 200, Duration.ofMillis(600), Duration.ofSeconds(60));
+            send(caller, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 150\r\n\r\n" + "x".repeat(150));
+            assertEquals(150, next().httpRequest().body().length);
+        }
+    }
+
     /** A caller that never completes the header of a request must not keep its connection open. */
     @Test
     void slowHeaderIsRefused() throws Exception {
