--- a/core/src/main/java/org/plantainshunt/membership/VmRegistry.java
+++ b/core/src/main/java/org/plantainshunt/membership/VmRegistry.java
@@ -61,9 +61,11 @@
      */
     public record Registration(Vm vm, long startedAt) {}
 
-    /** Sets the names of the services in the configuration. */
-    public void services(Set<String> names) {
+    /** Sets the names of the services in the configuration, and returns whether they have changed. */
+    public boolean services(Set<String> names) {
+        Optional<Set<String>> before = services;
         services = Optional.of(Set.copyOf(names));
+        return !services.equals(before);
     }
 
     /** Records that the store does not answer. */
