Report the CPU time of a node by thread

ThreadTimes reads /proc/self/task. The gauge cpu.threads and the log lines at the first readiness and at the stop have the times; the JVM's own threads are included, which its management interface leaves out.

--- a/node/src/main/java/org/plantainshunt/http/MetricsReport.java
+++ b/node/src/main/java/org/plantainshunt/http/MetricsReport.java
@@ -25,7 +25,7 @@
     public JsonNode json() {
         ObjectNode tree = MAPPER.createObjectNode();
         ObjectNode gauges = tree.putObject("gauges");
-        registry.getGauges().forEach((name, gauge) -> gauges.putPOJO(name, gauge.getValue()));
+        registry.getGauges().forEach((name, gauge) -> gauges.set(name, MAPPER.valueToTree(gauge.getValue())));
         ObjectNode counters = tree.putObject("counters");
         registry.getCounters().forEach((name, counter) -> counters.put(name, counter.getCount()));
         ObjectNode timers = tree.putObject("timers");
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -11,6 +12,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import net.logstash.logback.argument.StructuredArguments;
 import org.plantainshunt.call.CallCoordinator;
 import org.plantainshunt.call.HopTracer;
 import org.plantainshunt.call.InboundCall;
@@ -36,6 +38,7 @@
 import org.plantainshunt.protocol.PeerHandler;
 import org.plantainshunt.telemetry.SpanTracer;
 import org.plantainshunt.telemetry.Telemetry;
+import org.plantainshunt.telemetry.ThreadTimes;
 import org.plantainshunt.telemetry.TraceFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -74,6 +77,7 @@
     private final HealthWatch health = new HealthWatch();
     private long nextHealthCheck;
     private boolean healthRequestPending;
+    private boolean wasReady;
     private volatile Optional<Document> activeDocument = Optional.empty();
     private volatile boolean draining;
     private volatile boolean stopping;
@@ -208,7 +212,7 @@
         coordinator.stop(start + stopTimes.calls().toNanos());
         awaitIdle(start);
         closeComponents(start);
-        LOGGER.info("node {} stopped", settings.name());
+        logCpuTime("node " + settings.name() + " stopped");
     }
 
     private void awaitIdle(long start) {
@@ -294,6 +298,7 @@
             return;
         }
         control.tick();
+        logFirstReady();
         long now = System.nanoTime();
         if (healthSource.isPresent() && now >= nextHealthCheck && !healthRequestPending) {
             nextHealthCheck = now + HEALTH_CHECK_INTERVAL_NANOSECONDS;
@@ -302,6 +307,20 @@
         }
     }
 
+    private void logFirstReady() {
+        if (!wasReady && ready()) {
+            wasReady = true;
+            logCpuTime("node ready");
+        }
+    }
+
+    /** Logs the CPU time since the start of the process, which shows what a start and a life of the node cost. */
+    private static void logCpuTime(String event) {
+        Map<String, Long> threads = ThreadTimes.milliseconds();
+        long total = threads.values().stream().mapToLong(Long::longValue).sum();
+        LOGGER.info(event, StructuredArguments.kv("cpuMs", total), StructuredArguments.kv("threads", threads));
+    }
+
     private void onHealth(HealthWatch.Health answer) {
         healthRequestPending = false;
         boolean changed = health.update(answer);
@@ -328,6 +347,7 @@
         gauge("control.reads-store", () -> control.storeAccess().reads() ? 1 : 0);
         gauge("control.ignored-entries", platform::ignoredEntries);
         gauge("control.followers", () -> control.storeAccess().followers().size());
+        gauge("cpu.threads", ThreadTimes::milliseconds);
         gauge("memory.heap-bytes", () -> {
             Runtime runtime = Runtime.getRuntime();
             return runtime.totalMemory() - runtime.freeMemory();
