--- a/core/src/main/java/org/plantainshunt/configuration/DocumentContent.java
+++ b/core/src/main/java/org/plantainshunt/configuration/DocumentContent.java
@@ -29,6 +29,17 @@
      * @param kind the kind's name within the service
      */
     record KindName(String service, String kind) {
+        // The generated methods link method handles at run time; each lookup of a kind needs both.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof KindName name && service.equals(name.service) && kind.equals(name.kind);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * service.hashCode() + kind.hashCode();
+        }
+
         @Override
         public String toString() {
             return service + " " + kind;
--- a/core/src/main/java/org/plantainshunt/configuration/Kind.java
+++ b/core/src/main/java/org/plantainshunt/configuration/Kind.java
@@ -44,4 +44,25 @@
             List<AllowedCall> calls) {
         this(service, name, priorityClass, atMostOnce, deadline, calls, atMostOnce, OptionalInt.empty());
     }
+
+    // The generated methods link method handles at run time and hash the list of calls; kinds are keys of maps that
+    // every call reads.
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || other instanceof Kind kind
+                        && service.equals(kind.service)
+                        && name.equals(kind.name)
+                        && priorityClass == kind.priorityClass
+                        && atMostOnce == kind.atMostOnce
+                        && deadline.equals(kind.deadline)
+                        && calls.equals(kind.calls)
+                        && ticketed == kind.ticketed
+                        && maxAttempts.equals(kind.maxAttempts);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * service.hashCode() + name.hashCode();
+    }
 }
--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -209,5 +209,16 @@
     }
 
     /** The service and priority class that a retry budget applies to. */
-    private record BudgetKey(String service, PriorityClass priorityClass) {}
+    private record BudgetKey(String service, PriorityClass priorityClass) {
+        // The generated methods link method handles at run time; each call needs both.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof BudgetKey key && service.equals(key.service) && priorityClass == key.priorityClass;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * service.hashCode() + priorityClass.ordinal();
+        }
+    }
 }
