--- a/core/src/test/java/org/plantainshunt/routing/EntryLimitsTest.java
+++ b/core/src/test/java/org/plantainshunt/routing/EntryLimitsTest.java
@@ -72,6 +72,15 @@
         assertTrue(levels.check(TOP, 199, 0).isPresent());
     }
 
+    /** Guards against a first hop that admits what nearly all servers of a large fleet would refuse. */
+    @Test
+    void oneServerThatAdmitsAllDoesNotHideThatTheOthersShed() {
+        IntStream.range(0, 7).forEach(vm -> levels.report("vm-" + vm, "deep", 256, 0));
+        levels.report("vm-7", "deep", DownstreamLevels.ADMITS_ALL, 0);
+        assertTrue(levels.check(TOP, 300, 0).isPresent());
+        assertTrue(levels.check(TOP, 255, 0).isEmpty());
+    }
+
     /** An old level must expire, or work stays refused after the overload; nor may it override a fresh one. */
     @Test
     void oldLevelsRiseAndDoNotOverrideFreshOnes() {
