Serve the operators' pages of a platform node without Ratpack's server

A quarter of the main thread's samples during a start (JFR) were in the start of Ratpack's server, which served only the operators' pages and lent its threads to the client of the store.

On the platform, PipelinedServer serves the pages on the event loop, and the client of the store has executions of its own. AdminPages has the pages for both servers; the standalone node still serves them by Ratpack.

--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -26,7 +26,7 @@
 import org.plantainshunt.control.HealthWatch;
 import org.plantainshunt.control.Platform;
 import org.plantainshunt.duty.Worker;
-import org.plantainshunt.http.AdminServer;
+import org.plantainshunt.http.AdminPages;
 import org.plantainshunt.http.MetricsReport;
 import org.plantainshunt.protocol.Announcement;
 import org.plantainshunt.protocol.CancelHandle;
@@ -64,7 +64,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Telemetry telemetry;
     private final HopTracer tracer;
-    private final AdminServer admin;
+    private final AutoCloseable admin;
     private final CallerEdge callers;
     private final NodeComponents.LocalBackendServer backendServer;
     private final NodeComponents.StopTimes stopTimes;
@@ -107,11 +107,12 @@
                 ? new SpanTracer(settings.spanFile().get(), settings.name())
                 : HopTracer.off();
         StatusReport status = new StatusReport(this);
-        admin = new AdminServer(settings.adminAddress(), status::describe, new MetricsReport(metrics), this::ready);
         Worker.Factory workers = components.workers();
         DocumentFormats formats = components.formats();
-        platform = components.platform(admin);
-        healthSource = components.health(admin);
+        admin = components.admin(
+                settings.adminAddress(), new AdminPages(status::describe, new MetricsReport(metrics), this::ready));
+        platform = components.platform();
+        healthSource = components.health();
         control = new FleetControl(
                 settings.name(),
                 settings.dataCentre(),
--- a/node/src/main/java/org/plantainshunt/node/NodeComponents.java
+++ b/node/src/main/java/org/plantainshunt/node/NodeComponents.java
@@ -1,6 +1,7 @@
 package org.plantainshunt.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -10,7 +11,7 @@
 import org.plantainshunt.control.HealthWatch;
 import org.plantainshunt.control.Platform;
 import org.plantainshunt.duty.Worker;
-import org.plantainshunt.http.AdminServer;
+import org.plantainshunt.http.AdminPages;
 import org.plantainshunt.protocol.CallHandler;
 import org.plantainshunt.protocol.InnerEndpoint;
 import org.plantainshunt.protocol.InnerSettings;
@@ -28,16 +29,22 @@
     /** Returns the formats of the configuration and VM list documents. */
     DocumentFormats formats();
 
+    /**
+     * Starts the server for operators.
+     *
+     * @throws Exception if the address cannot be bound
+     */
+    AutoCloseable admin(InetSocketAddress address, AdminPages pages) throws Exception;
+
     /**
      * Creates the client that reads the platform's documents.
      *
-     * @param admin the server whose threads may run the reads
      * @throws Exception if the client cannot be set up
      */
-    Platform platform(AdminServer admin) throws Exception;
+    Platform platform() throws Exception;
 
     /** Creates the client of the backend server's health endpoint, unless the platform reports the health. */
-    Optional<HealthSource> health(AdminServer admin) throws Exception;
+    Optional<HealthSource> health() throws Exception;
 
     /** Creates this node's endpoint of the inner protocol. */
     InnerEndpoint inner(InnerSettings inner, CallHandler calls, PeerHandler peers);
--- a/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
+++ b/node/src/main/java/org/plantainshunt/node/RatpackComponents.java
@@ -12,6 +12,7 @@
 import org.plantainshunt.control.Platform;
 import org.plantainshunt.duty.RingBufferWorker;
 import org.plantainshunt.duty.Worker;
+import org.plantainshunt.http.AdminPages;
 import org.plantainshunt.http.AdminServer;
 import org.plantainshunt.http.CallerServer;
 import org.plantainshunt.http.HealthReader;
@@ -43,6 +44,7 @@
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(35);
 
     private final NodeSettings settings;
+    private AdminServer admin;
     private RatpackServer callerServer;
 
     RatpackComponents(NodeSettings settings) {
@@ -61,13 +63,19 @@
     }
 
     @Override
-    public Platform platform(AdminServer admin) throws IOException {
-        return new RatpackPlatform(settings.platform(), executions(admin.server()));
+    public AutoCloseable admin(InetSocketAddress address, AdminPages pages) throws Exception {
+        admin = new AdminServer(address, pages);
+        return admin;
     }
 
     @Override
-    public Optional<HealthSource> health(AdminServer admin) throws IOException {
-        return Optional.of(new HealthReader(settings.backendServer(), executions(admin.server()))::read);
+    public Platform platform() throws IOException {
+        return new RatpackPlatform(settings.platform(), admin.executions());
+    }
+
+    @Override
+    public Optional<HealthSource> health() throws IOException {
+        return Optional.of(new HealthReader(settings.backendServer(), admin.executions())::read);
     }
 
     @Override
--- a/node/src/main/java/org/plantainshunt/telemetry/ThreadTimes.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/ThreadTimes.java
@@ -23,7 +23,12 @@
         return milliseconds(TASKS);
     }
 
-    static Map<String, Long> milliseconds(Path tasks) {
+    /**
+     * Returns the CPU time of the live threads of a process, as {@link #milliseconds()} does.
+     *
+     * @param tasks the folder of the process's threads, {@code /proc/PID/task}
+     */
+    public static Map<String, Long> milliseconds(Path tasks) {
         Map<String, Long> nanoseconds = new TreeMap<>();
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(tasks)) {
             for (Path thread : threads) {
