Load no Jackson modules for the log, and log the CPU time of a start as one figure

The encoder of the log searched for Jackson modules and loaded those for times, Guava and others at each start; the log has texts, numbers and maps only. The line at the first readiness read two files for each thread; it now has the sum.

--- a/node/src/main/java/org/plantainshunt/node/LogConfiguration.java
+++ b/node/src/main/java/org/plantainshunt/node/LogConfiguration.java
@@ -37,6 +37,8 @@
     public void configure(LoggerContext loggers) {
         LogstashEncoder encoder = new LogstashEncoder();
         encoder.setContext(loggers);
+        // The log has only texts, numbers and maps of them; the modules for other types take long to load.
+        encoder.setFindAndRegisterJacksonModules(false);
         encoder.start();
         ConsoleAppender<ILoggingEvent> standardOutput = new ConsoleAppender<>();
         standardOutput.setContext(loggers);
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -213,7 +212,11 @@
         coordinator.stop(start + stopTimes.calls().toNanos());
         awaitIdle(start);
         closeComponents(start);
-        logCpuTime("node " + settings.name() + " stopped");
+        LOGGER.info(
+                "node {} stopped",
+                settings.name(),
+                StructuredArguments.kv("cpuMs", cpuMilliseconds()),
+                StructuredArguments.kv("threads", ThreadTimes.milliseconds()));
     }
 
     private void awaitIdle(long start) {
@@ -308,18 +311,21 @@
         }
     }
 
+    /** Logs the CPU time of the start. */
     private void logFirstReady() {
         if (!wasReady && ready()) {
             wasReady = true;
-            logCpuTime("node ready");
+            LOGGER.info("node ready", StructuredArguments.kv("cpuMs", cpuMilliseconds()));
         }
     }
 
-    /** Logs the CPU time since the start of the process, which shows what a start and a life of the node cost. */
-    private static void logCpuTime(String event) {
-        Map<String, Long> threads = ThreadTimes.milliseconds();
-        long total = threads.values().stream().mapToLong(Long::longValue).sum();
-        LOGGER.info(event, StructuredArguments.kv("cpuMs", total), StructuredArguments.kv("threads", threads));
+    /** Returns the CPU time of the process so far, or -1 if the system does not tell. */
+    private static long cpuMilliseconds() {
+        return ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(Duration::toMillis)
+                .orElse(-1L);
     }
 
     private void onHealth(HealthWatch.Health answer) {
