--- a/core/src/main/java/org/plantainshunt/routing/DownstreamLevels.java
+++ b/core/src/main/java/org/plantainshunt/routing/DownstreamLevels.java
@@ -19,11 +19,11 @@
 /**
  * The admission levels of the services that a call depends on; the entry node refuses what they would refuse.
  *
- * <p>The level of a service is the upper median of those that were reported within the last second, by its own VMs or by
- * VMs of the services that call it, which pass it on. The highest would grow with the number of VMs that report: one
+ * <p>The level of a service is the upper median of those that were reported within the last second, by its own VMs or
+ * by VMs of the services that call it, which pass it on. The highest would grow with the number of VMs that report: one
  * VM with a free server would hide that all others shed. Without such a report the last level rises step by step until
- * it admits all. One call in 50 that would be refused passes as a probe, so that an outdated level is corrected. Confined to one
- * thread.
+ * it admits all. One call in 50 that would be refused passes as a probe, so that an outdated level is corrected.
+ * Confined to one thread.
  */
 public final class DownstreamLevels {
     /** The level that admits every priority value. */
