--- a/node/src/main/java/org/plantainshunt/http/AdminServer.java
+++ b/node/src/main/java/org/plantainshunt/http/AdminServer.java
@@ -34,7 +34,7 @@
                 }));
     }
 
-    /** Returns the executions that also run the node's requests to the platform and its checks of the backend server. */
+    /** Returns the executions that also run the requests to the platform and the checks of the backend server. */
     public ExecController executions() {
         return server.getRegistry().orElseThrow().get(ExecController.class);
     }
