Let the last response of a stopping server be held until it stops

Its second response got Connection: close only if drain() was called while the server still wrote the first part of the large one. With a sleep of 50 ms before drain() the old test fails, and what the server does then is allowed: both responses are complete, and the connection ends.

The second request is now held until the server has stopped listening, and both requests are sent in one segment; all checks are unchanged.

--- a/node/src/test/java/org/plantainshunt/http/ServerStopTest.java
+++ b/node/src/test/java/org/plantainshunt/http/ServerStopTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -35,6 +36,7 @@
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final AtomicInteger received = new AtomicInteger();
+    private final List<Runnable> held = new CopyOnWriteArrayList<>();
     private PipelinedServer server;
 
     @BeforeEach
@@ -45,7 +47,12 @@
                 (request, response) -> {
                     received.incrementAndGet();
                     int length = request.target().equals("/large") ? LARGE_BODY_BYTES : SMALL_BODY_BYTES;
-                    response.accept(new BufferedHttpResponse(200, List.of(), new byte[length]));
+                    Runnable answer = () -> response.accept(new BufferedHttpResponse(200, List.of(), new byte[length]));
+                    if (request.target().equals("/held")) {
+                        held.add(answer);
+                    } else {
+                        answer.run();
+                    }
                     return () -> {};
                 },
                 () -> RequestLimits.DEFAULT,
@@ -112,12 +119,14 @@
     @Test
     void callerThatKeepsSendingIsAnsweredAndClosed() throws Exception {
         try (Socket caller = connect()) {
-            sendRequest(caller, "/large");
-            sendRequest(caller, "/small");
+            // In one segment, because the server reads no more while the large response is being written.
+            sendRequests(caller, "/large", "/held");
             readHead(caller);
+            await(() -> received.get() == 2, "the second request has not been read");
             server.drain();
             server.stopListening();
             TimeUnit.MILLISECONDS.sleep(200);
+            held.forEach(Runnable::run);
             for (int count = 0; count < OUTSTANDING; count++) {
                 sendRequest(caller, "/small");
             }
@@ -154,8 +163,15 @@
     }
 
     private static void sendRequest(Socket caller, String path) throws IOException {
-        String request = "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
-        caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        sendRequests(caller, path);
+    }
+
+    private static void sendRequests(Socket caller, String... paths) throws IOException {
+        StringBuilder requests = new StringBuilder();
+        for (String path : paths) {
+            requests.append("GET ").append(path).append(" HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        caller.getOutputStream().write(requests.toString().getBytes(StandardCharsets.US_ASCII));
     }
 
     /** Reads the header of the next response, in lower case. */
