--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -11,6 +11,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import net.logstash.logback.argument.StructuredArguments;
 import org.plantainshunt.call.CallCoordinator;
 import org.plantainshunt.call.HopTracer;
 import org.plantainshunt.call.InboundCall;
@@ -24,7 +25,7 @@
 import org.plantainshunt.control.HealthWatch;
 import org.plantainshunt.control.Platform;
 import org.plantainshunt.duty.Worker;
-import org.plantainshunt.http.AdminServer;
+import org.plantainshunt.http.AdminPages;
 import org.plantainshunt.http.MetricsReport;
 import org.plantainshunt.protocol.Announcement;
 import org.plantainshunt.protocol.CancelHandle;
@@ -36,6 +37,7 @@
 import org.plantainshunt.protocol.PeerHandler;
 import org.plantainshunt.telemetry.SpanTracer;
 import org.plantainshunt.telemetry.Telemetry;
+import org.plantainshunt.telemetry.ThreadTimes;
 import org.plantainshunt.telemetry.TraceFile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -61,7 +63,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Telemetry telemetry;
     private final HopTracer tracer;
-    private final AdminServer admin;
+    private final AutoCloseable admin;
     private final CallerEdge callers;
     private final NodeComponents.LocalBackendServer backendServer;
     private final NodeComponents.StopTimes stopTimes;
@@ -74,6 +76,7 @@
     private final HealthWatch health = new HealthWatch();
     private long nextHealthCheck;
     private boolean healthRequestPending;
+    private boolean wasReady;
     private volatile Optional<Document> activeDocument = Optional.empty();
     private volatile boolean draining;
     private volatile boolean stopping;
@@ -103,11 +106,12 @@
                 ? new SpanTracer(settings.spanFile().get(), settings.name())
                 : HopTracer.off();
         StatusReport status = new StatusReport(this);
-        admin = new AdminServer(settings.adminAddress(), status::describe, new MetricsReport(metrics), this::ready);
         Worker.Factory workers = components.workers();
         DocumentFormats formats = components.formats();
-        platform = components.platform(admin);
-        healthSource = components.health(admin);
+        admin = components.admin(
+                settings.adminAddress(), new AdminPages(status::describe, new MetricsReport(metrics), this::ready));
+        platform = components.platform();
+        healthSource = components.health();
         control = new FleetControl(
                 settings.name(),
                 settings.dataCentre(),
@@ -208,7 +212,11 @@
         coordinator.stop(start + stopTimes.calls().toNanos());
         awaitIdle(start);
         closeComponents(start);
-        LOGGER.info("node {} stopped", settings.name());
+        LOGGER.info(
+                "node {} stopped",
+                settings.name(),
+                StructuredArguments.kv("cpuMs", cpuMilliseconds()),
+                StructuredArguments.kv("threads", ThreadTimes.milliseconds()));
     }
 
     private void awaitIdle(long start) {
@@ -294,6 +302,7 @@
             return;
         }
         control.tick();
+        logFirstReady();
         long now = System.nanoTime();
         if (healthSource.isPresent() && now >= nextHealthCheck && !healthRequestPending) {
             nextHealthCheck = now + HEALTH_CHECK_INTERVAL_NANOSECONDS;
@@ -302,6 +311,23 @@
         }
     }
 
+    /** Logs the CPU time of the start. */
+    private void logFirstReady() {
+        if (!wasReady && ready()) {
+            wasReady = true;
+            LOGGER.info("node ready", StructuredArguments.kv("cpuMs", cpuMilliseconds()));
+        }
+    }
+
+    /** Returns the CPU time of the process so far, or -1 if the system does not tell. */
+    private static long cpuMilliseconds() {
+        return ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(Duration::toMillis)
+                .orElse(-1L);
+    }
+
     private void onHealth(HealthWatch.Health answer) {
         healthRequestPending = false;
         boolean changed = health.update(answer);
@@ -328,6 +354,7 @@
         gauge("control.reads-store", () -> control.storeAccess().reads() ? 1 : 0);
         gauge("control.ignored-entries", platform::ignoredEntries);
         gauge("control.followers", () -> control.storeAccess().followers().size());
+        gauge("cpu.threads", ThreadTimes::milliseconds);
         gauge("memory.heap-bytes", () -> {
             Runtime runtime = Runtime.getRuntime();
             return runtime.totalMemory() - runtime.freeMemory();
