Log the state of an overloaded serving node, with run times by occupancy

A serving node now writes at most two lines a second while calls wait or its level refuses some, and two timers keep the run times of calls that took the last free slot and of the others.

TelemetryTest.overloadIsLoggedWithRunTimesByOccupancy.

--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -281,8 +281,8 @@
     }
 
     private void start(CallEntry entry, long now) {
-        entry.start(now);
         running++;
+        entry.start(now, running >= service.slots());
         longWork.started(entry, service.longWorkAfter(), now);
         overdue.started(entry);
     }
--- a/core/src/main/java/org/plantainshunt/admission/CallEntry.java
+++ b/core/src/main/java/org/plantainshunt/admission/CallEntry.java
@@ -22,6 +22,7 @@
     private final long deadline;
     private final long arrivedAt;
     private long startedAt;
+    private boolean fillsSlots;
 
     State state = State.NEW;
     /** Position in the order of offers; unique in the queue. */
@@ -91,9 +92,15 @@
         return startedAt;
     }
 
-    void start(long now) {
+    /** Returns whether the call took the last free slot of the backend server. */
+    public boolean fillsSlots() {
+        return fillsSlots;
+    }
+
+    void start(long now, boolean takesLastSlot) {
         state = State.RUNNING;
         startedAt = now;
+        fillsSlots = takesLastSlot;
     }
 
     @Override
--- a/node/src/main/java/org/plantainshunt/call/CallCoordinator.java
+++ b/node/src/main/java/org/plantainshunt/call/CallCoordinator.java
@@ -53,6 +53,7 @@
     private final LinkBudgets links;
     private final TicketTable tickets;
     private final Identity identity;
+    private final CallRecorder recorder;
     private Optional<Document> document = Optional.empty();
     private VmList vmList;
     private boolean leaving;
@@ -71,6 +72,7 @@
             Worker.Factory workers) {
         this.identity = identity;
         this.clock = clock;
+        this.recorder = recorder;
         // Tokens need a secure random source; routing choices don't, and a secure source is far slower.
         RandomGenerator routingRandom = new SplittableRandom(random.nextLong());
         worker = workers.start("decisions", QUEUE_CAPACITY, TICK_INTERVAL, this::tick);
@@ -245,6 +247,9 @@
         connections.tick(now);
         if (now - snapshot.takenAt() >= Snapshot.INTERVAL) {
             snapshot = takeSnapshot(now);
+            if (snapshot.isOverloaded()) {
+                recorder.overloaded(snapshot);
+            }
         }
     }
 
--- a/node/src/main/java/org/plantainshunt/call/CallRecorder.java
+++ b/node/src/main/java/org/plantainshunt/call/CallRecorder.java
@@ -27,6 +27,9 @@
     /** Called when the serving node gives up a call that is long past its deadline; {@code now} is in nanoseconds. */
     default void gaveUp(CallEntry entry, CallMessage message, long now) {}
 
+    /** Called at most twice a second while calls wait or the admission level refuses some. */
+    default void overloaded(Snapshot snapshot) {}
+
     /** Called when a call is handed over to the backend server; {@code now} is in nanoseconds. */
     void started(CallEntry entry, CallMessage message, long now);
 
--- a/node/src/main/java/org/plantainshunt/call/Snapshot.java
+++ b/node/src/main/java/org/plantainshunt/call/Snapshot.java
@@ -11,6 +11,7 @@
 import org.plantainshunt.configuration.Service;
 import org.plantainshunt.configuration.Vm;
 import org.plantainshunt.membership.Membership;
+import org.plantainshunt.routing.DownstreamLevels;
 
 /**
  * A snapshot of the load and state of a node.
@@ -40,6 +41,11 @@
     static final long INTERVAL = TimeUnit.MILLISECONDS.toNanos(500);
     static final Snapshot EMPTY = new Snapshot(Long.MIN_VALUE / 2, false, 0, 0, 0, 0, 0, 0, 0);
 
+    /** Returns whether calls wait, or entry nodes are told to refuse some. */
+    boolean isOverloaded() {
+        return waiting > 0 || level > 0 && level < DownstreamLevels.ADMITS_ALL;
+    }
+
     /**
      * A backend server as this node sees it.
      *
--- a/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/Telemetry.java
@@ -17,6 +17,7 @@
 import org.plantainshunt.call.CallRecorder;
 import org.plantainshunt.call.CallReply;
 import org.plantainshunt.call.InboundCall;
+import org.plantainshunt.call.Snapshot;
 import org.plantainshunt.configuration.Service;
 import org.plantainshunt.duty.RingBufferWorker;
 import org.plantainshunt.protocol.CallMessage;
@@ -44,6 +45,8 @@
     private final Timer entryTime;
     private final Timer servingTime;
     private final Timer queueTime;
+    private final Timer timeWithFullSlots;
+    private final Timer timeWithFreeSlots;
     private final Counter retries;
     private final Counter droppedLines;
     private final LogRateLimiter refusalLines;
@@ -72,6 +75,8 @@
         this.entryTime = registry.timer("entry.time", Telemetry::timer);
         this.servingTime = registry.timer("serving.time", Telemetry::timer);
         this.queueTime = registry.timer("serving.queue-time", Telemetry::timer);
+        this.timeWithFullSlots = registry.timer("serving.run-time.slots-full", Telemetry::timer);
+        this.timeWithFreeSlots = registry.timer("serving.run-time.slots-free", Telemetry::timer);
         this.retries = registry.counter("entry.retries");
         this.droppedLines = registry.counter("telemetry.dropped-lines");
         this.refusalLines = new LogRateLimiter(droppedLines);
@@ -103,6 +108,26 @@
     @Override
     public void ended(CallEntry entry, CallEnd end, long now) {
         trace.ifPresent(recorder -> recorder.ended(entry, end, now));
+        if (end == CallEnd.ANSWERED) {
+            Timer timer = entry.fillsSlots() ? timeWithFullSlots : timeWithFreeSlots;
+            timer.update(now - entry.startedAt(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    @Override
+    public void overloaded(Snapshot snapshot) {
+        write(() -> DECISIONS.info(
+                "calls wait or are refused for their priority",
+                StructuredArguments.kv("running", snapshot.running()),
+                StructuredArguments.kv("waiting", snapshot.waiting()),
+                StructuredArguments.kv("limit", snapshot.limit()),
+                StructuredArguments.kv("level", snapshot.level()),
+                StructuredArguments.kv("runTimeSlotsFullMs", meanMilliseconds(timeWithFullSlots)),
+                StructuredArguments.kv("runTimeSlotsFreeMs", meanMilliseconds(timeWithFreeSlots))));
+    }
+
+    private static long meanMilliseconds(Timer timer) {
+        return milliseconds((long) timer.getSnapshot().getMean());
     }
 
     @Override
--- a/node/src/test/java/org/plantainshunt/telemetry/TelemetryTest.java
+++ b/node/src/test/java/org/plantainshunt/telemetry/TelemetryTest.java
@@ -1,5 +1,6 @@
 package org.plantainshunt.telemetry;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -14,9 +15,15 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.plantainshunt.admission.AdmissionQueue;
+import org.plantainshunt.admission.CallEnd;
+import org.plantainshunt.admission.CallEntry;
+import org.plantainshunt.admission.Priority;
 import org.plantainshunt.call.CallRecorder;
 import org.plantainshunt.call.CallReply;
 import org.plantainshunt.call.InboundCall;
+import org.plantainshunt.call.Snapshot;
+import org.plantainshunt.configuration.Service;
 import org.plantainshunt.result.ResultCode;
 import org.slf4j.LoggerFactory;
 
@@ -62,6 +69,24 @@
         assertTrue(lines.isEmpty(), "more than the error answer was logged");
     }
 
+    /** Guards against an overload whose log can't tell a server that is slower when it is full. */
+    @Test
+    void overloadIsLoggedWithRunTimesByOccupancy() throws Exception {
+        AdmissionQueue queue = new AdmissionQueue(
+                new Service("s", 1, 1, 1, Duration.ofSeconds(1), 1, 10), refused -> {});
+        CallEntry entry = new CallEntry("c", Priority.ofValue(0), "k", false, Long.MAX_VALUE / 2, 0);
+        queue.offer(entry, 0);
+        try (Telemetry telemetry = new Telemetry(new MetricRegistry())) {
+            telemetry.ended(entry, CallEnd.ANSWERED, TimeUnit.MILLISECONDS.toNanos(70));
+            telemetry.overloaded(new Snapshot(0, false, 1, 3, 1, 256, 0, 0, 0));
+            ILoggingEvent line = lines.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertNotNull(line, "the overload was not logged");
+            String fields = List.of(line.getArgumentArray()).toString();
+            assertTrue(fields.contains("waiting=3"), fields);
+            assertTrue(fields.contains("runTimeSlotsFullMs=70, runTimeSlotsFreeMs=0"), fields);
+        }
+    }
+
     private static CallReply reply(int status) {
         return new CallReply(
                 "id-1", ResultCode.ANSWERED, status, List.of(), new byte[0], Optional.empty(), Optional.empty(), 0);
