Keep a backend server at the number of calls with its highest throughput

Cause: a node filled all slots of its backend server whenever calls waited. The platform states that some servers slow down when they are nearly full, so an overload itself took capacity away. The concurrency limit reacted only to refusals of the server, and deliberately not to latency.

Change: SaturationPoint compares the throughput of neighbouring limits in short alternating periods while the slots are full, and keeps the better one.

--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -116,7 +116,7 @@
         }
         updateState(now);
         recordServiceTime(entry, end, now);
-        limit.ended(end, entry.startedAt(), running, now);
+        limit.ended(entry, end, running, now);
         if (end != CallEnd.SHED_BY_BACKEND_SERVER) {
             level.ended();
         }
@@ -283,6 +283,7 @@
     private void start(CallEntry entry, long now) {
         running++;
         entry.start(now, running >= service.slots());
+        limit.started(entry, running, now);
         longWork.started(entry, service.longWorkAfter(), now);
         overdue.started(entry);
     }
--- a/core/src/main/java/org/plantainshunt/admission/CallEntry.java
+++ b/core/src/main/java/org/plantainshunt/admission/CallEntry.java
@@ -33,6 +33,8 @@
     long latestStart;
     /** When to check whether the running call has become long. */
     long longCheckAt;
+    /** The period of the search for the saturation point in which the call started, or -1. */
+    int saturationPeriod = -1;
     /** Whether the running call counts as long. */
     boolean isLong;
     /** Whether {@link AdmissionQueue#callsToCancel} has returned the call. */
--- a/core/src/main/java/org/plantainshunt/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/org/plantainshunt/admission/ConcurrencyLimit.java
@@ -6,8 +6,8 @@
  * <p>The limit is the configured number of slots until the backend server sheds load itself. Each round of sheds then
  * shrinks it to four fifths of the running calls, at most by half, and each round of successes raises it by one; after
  * a second without a shed the step doubles each round, so that a small limit recovers quickly. Latency does not shrink
- * the limit, because latency alone does not distinguish overload from a slow-down caused by a noisy neighbour. Confined
- * to one thread.
+ * the limit, because latency alone does not distinguish overload from a slow-down caused by a noisy neighbour. A server
+ * that ends more work with fewer running calls is kept at its {@link SaturationPoint}. Confined to one thread.
  */
 final class ConcurrencyLimit {
     /** Small enough to find the real capacity within a few rounds, without halving it for a single shed. */
@@ -21,31 +21,48 @@
     private int successes;
     private int step = 1;
     private long shedAt;
+    private final SaturationPoint saturation;
 
     ConcurrencyLimit(int slots) {
         this.slots = slots;
         this.limit = slots;
+        this.saturation = new SaturationPoint(slots);
     }
 
     int current() {
-        return limit;
+        return Math.min(limit, saturation.limit());
     }
 
     /** Sets a new number of slots; a limit below the old number is kept, or cut to the new one. */
     void configure(int newSlots) {
         limit = limit == slots ? newSlots : Math.min(limit, newSlots);
+        if (newSlots != slots) {
+            saturation.configure(newSlots);
+        }
         slots = newSlots;
     }
 
+    /**
+     * Counts a call that got a slot.
+     *
+     * @param running the number of running calls, including this one
+     */
+    void started(CallEntry entry, int running, long now) {
+        if (limit == slots) {
+            saturation.started(entry, running, now);
+        }
+    }
+
     /**
      * Adjusts the limit at the end of a call.
      *
      * @param running the number of running calls, including this one
      */
-    void ended(CallEnd end, long startedAt, int running, long now) {
+    void ended(CallEntry entry, CallEnd end, int running, long now) {
         if (end == CallEnd.SHED_BY_BACKEND_SERVER) {
-            shrink(startedAt, running, now);
+            shrink(entry.startedAt(), running, now);
         } else if (end == CallEnd.ANSWERED) {
+            saturation.answered(entry, now - entry.startedAt(), now);
             grow(now);
         }
     }
--- a/core/src/test/java/org/plantainshunt/admission/OverloadTest.java
+++ b/core/src/test/java/org/plantainshunt/admission/OverloadTest.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.IntSummaryStatistics;
 import java.util.List;
+import java.util.Random;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainshunt.admission.AdmissionModel.Sample;
@@ -25,6 +25,8 @@
     private static final double MIN_GOODPUT = 0.9;
 
     private static final double NEARLY_FULL = 0.95;
+    private static final double NOISE_SHARE = 0.15;
+    private static final double NOISE_FACTOR = 2.5;
     private static final long SEED = 20_261_206L;
     private static final double CAPACITY = SLOTS * AdmissionModel.SECOND / SERVICE_TIME;
 
@@ -97,7 +99,6 @@
     }
 
     /** Guards against capacity lost by a server that is slower when nearly full, as those on the users' platform. */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(ints = {14, 28, 134})
     void serverThatIsSlowerWhenNearlyFullKeepsItsThroughput(int slots) {
@@ -114,6 +115,28 @@
                 "answers a second: " + model.answeredPerSecond() + " of " + best);
     }
 
+    /** Guards against slots left free because a noisy neighbour slowed calls down while some limit was tried. */
+    @ParameterizedTest
+    @ValueSource(ints = {14, 28, 134})
+    void noisyNeighbourDoesNotTakeSlotsAway(int slots) {
+        double best = slots * AdmissionModel.SECOND / SERVICE_TIME * (1 - NOISE_SHARE + NOISE_SHARE / NOISE_FACTOR);
+        AdmissionModel model = new AdmissionModel(
+                SEED,
+                AdmissionModel.service(slots, 260),
+                t -> 2 * best,
+                (t, running) -> (isNoisy(t) ? NOISE_FACTOR : 1) * SERVICE_TIME,
+                0,
+                43);
+        assertTrue(
+                model.answeredPerSecond() > MIN_GOODPUT * best,
+                "answers a second: " + model.answeredPerSecond() + " of " + best);
+    }
+
+    /** Returns whether the neighbour is noisy at a time, which lasts for 600 ms and is random. */
+    private static boolean isNoisy(long time) {
+        return new Random(time / (600 * AdmissionModel.MILLISECOND) * 7_919 + SEED).nextDouble() < NOISE_SHARE;
+    }
+
     private static boolean duringOverload(long time) {
         return time > 5 * AdmissionModel.SECOND && time < 15 * AdmissionModel.SECOND;
     }
