Do not refuse calls of a request that has had calls answered

Cause: each call of a chain was admitted anew. All calls of a request share a cohort, but the levels of a service's servers differ and change within a chain, so a request that one server had served was refused by the next, at the entry node of the call or in the queue, and the runs before that were wasted.

Change: an entry node marks a call whose request has had a call answered (RequestProgress; CallStart.continues).

--- a/core/src/main/java/org/plantainshunt/admission/CallEntry.java
+++ b/core/src/main/java/org/plantainshunt/admission/CallEntry.java
@@ -17,6 +17,7 @@
 
     private final String id;
     private final Priority priority;
+    private final boolean continues;
     private final String kind;
     private final boolean atMostOnce;
     private final long deadline;
@@ -40,19 +41,33 @@
     /** Whether {@link AdmissionQueue#callsToCancel} has returned the call. */
     boolean cancelRequested;
 
+    /** Creates an entry for the first call of a request. */
+    public CallEntry(String id, Priority priority, String kind, boolean atMostOnce, long deadline, long arrivedAt) {
+        this(id, priority, false, kind, atMostOnce, deadline, arrivedAt);
+    }
+
     /**
      * Creates an entry for a call.
      *
      * @param id the id that the serving node gives the call; not the request id, which several calls can share
      * @param priority the priority of the request
+     * @param continues whether an earlier call for the same request was answered
      * @param kind the kind of request, for which service times are measured
      * @param atMostOnce whether the call runs at most once, so that it must not be cancelled after its start
      * @param deadline when the complete answer is due, absolute, in nanoseconds
      * @param arrivedAt when the call arrived at this node, in nanoseconds
      */
-    public CallEntry(String id, Priority priority, String kind, boolean atMostOnce, long deadline, long arrivedAt) {
+    public CallEntry(
+            String id,
+            Priority priority,
+            boolean continues,
+            String kind,
+            boolean atMostOnce,
+            long deadline,
+            long arrivedAt) {
         this.id = id;
         this.priority = priority;
+        this.continues = continues;
         this.kind = kind;
         this.atMostOnce = atMostOnce;
         this.deadline = deadline;
@@ -69,6 +84,11 @@
         return priority;
     }
 
+    /** Returns whether an earlier call for the same request was answered, whose work a refusal would waste. */
+    public boolean continues() {
+        return continues;
+    }
+
     /** Returns the kind of request. */
     public String kind() {
         return kind;
--- a/core/src/main/java/org/plantainshunt/admission/WaitingCalls.java
+++ b/core/src/main/java/org/plantainshunt/admission/WaitingCalls.java
@@ -10,7 +10,8 @@
  *
  * <p>Each operation takes time logarithmic in the number of waiting calls. A class has a standing delay once its oldest
  * call has waited longer than the target for 100 ms without interruption; its calls are then started newest first,
- * because callers are the most likely to have abandoned the oldest. Confined to one thread.
+ * because callers are the most likely to have abandoned the oldest. Calls that continue a request come before others of
+ * their class, oldest first. Confined to one thread.
  */
 final class WaitingCalls {
     /** Longer than the delay of a single burst, in nanoseconds. */
@@ -27,7 +28,9 @@
     private static final int CLASSES = PriorityClass.values().length;
     private static final Comparator<CallEntry> BY_ARRIVAL = Comparator.comparingLong(entry -> entry.sequence);
     private static final Comparator<CallEntry> BY_IMPORTANCE = Comparator.<CallEntry>comparingInt(
-                    entry -> entry.priority().value())
+                    entry -> entry.priority().priorityClass().ordinal())
+            .thenComparing(entry -> !entry.continues())
+            .thenComparing(CallEntry::priority)
             .thenComparing(BY_ARRIVAL);
     private static final Comparator<CallEntry> BY_LATEST_START = new LatestStartOrder().thenComparing(BY_ARRIVAL);
 
@@ -46,9 +49,18 @@
     /** The waiting calls of one class, and since when the oldest has waited longer than the target. */
     private static final class ClassQueue {
         private final TreeSet<CallEntry> calls = new TreeSet<>(BY_ARRIVAL);
+        private final TreeSet<CallEntry> continuing = new TreeSet<>(BY_ARRIVAL);
         private boolean overTarget;
         private long overTargetSince;
 
+        /** Calls that continue a request come first, so that the work done for it is not lost. */
+        private CallEntry next(long now) {
+            if (!continuing.isEmpty()) {
+                return continuing.first();
+            }
+            return overTargetFor(STANDING_AFTER, now) ? calls.last() : calls.first();
+        }
+
         private void observe(long now, long target) {
             boolean overNow = !calls.isEmpty() && now - calls.first().waitingSince > target;
             if (overNow && !overTarget) {
@@ -72,12 +84,16 @@
     void add(CallEntry entry) {
         entry.state = CallEntry.State.WAITING;
         classOf(entry).calls.add(entry);
+        if (entry.continues()) {
+            classOf(entry).continuing.add(entry);
+        }
         byImportance.add(entry);
         byLatestStart.add(entry);
     }
 
     void remove(CallEntry entry) {
         classOf(entry).calls.remove(entry);
+        classOf(entry).continuing.remove(entry);
         byImportance.remove(entry);
         byLatestStart.remove(entry);
     }
@@ -94,7 +110,7 @@
     CallEntry next(long now) {
         for (ClassQueue queue : classes) {
             if (!queue.calls.isEmpty()) {
-                return queue.overTargetFor(STANDING_AFTER, now) ? queue.calls.last() : queue.calls.first();
+                return queue.next(now);
             }
         }
         throw new IllegalStateException("no call waits");
--- a/core/src/main/java/org/plantainshunt/replay/Replay.java
+++ b/core/src/main/java/org/plantainshunt/replay/Replay.java
@@ -108,6 +108,7 @@
         CallEntry entry = new CallEntry(
                 arrival.call(),
                 Priority.of(arrival.priorityClass(), arrival.cohort()),
+                arrival.continues(),
                 arrival.kind(),
                 arrival.atMostOnce(),
                 arrival.deadline() * NANOSECONDS_PER_MICROSECOND,
--- a/core/src/main/java/org/plantainshunt/replay/TraceEvent.java
+++ b/core/src/main/java/org/plantainshunt/replay/TraceEvent.java
@@ -88,6 +88,7 @@
      * @param priorityClass the class
      * @param cohort the cohort of the request within its class, 0 to 127
      * @param atMostOnce whether the call runs at most once
+     * @param continues whether an earlier call for the same request was answered
      * @param deadlineLeft the time left at the arrival, in milliseconds
      */
     record Arrival(
@@ -98,6 +99,7 @@
             PriorityClass priorityClass,
             int cohort,
             boolean atMostOnce,
+            boolean continues,
             double deadlineLeft)
             implements TraceEvent {
         /** Returns when the deadline passes, in microseconds. */
--- a/node/src/main/java/org/plantainshunt/call/CallPreparation.java
+++ b/node/src/main/java/org/plantainshunt/call/CallPreparation.java
@@ -143,6 +143,7 @@
         call.parent = context;
         call.requestId = context.get().requestId();
         call.priority = context.get().priority();
+        call.setProgress(context.get().progress());
         call.deadline = Math.min(call.deadline, context.get().deadline());
         if (needsTicket(call)) {
             // Requesting a ticket runs nothing, so it does not count against the request's declared calls.
@@ -190,6 +191,7 @@
         Optional<Refusal> refusal = prepareRoot(call);
         call.nested = true;
         call.priority = request.priority();
+        call.setProgress(request.progress());
         call.deadline = Math.min(call.deadline, request.deadline());
         observedCalls.computeIfAbsent(request.kind(), kind -> new HashSet<>()).add(call.kind);
         return refusal;
--- a/node/src/main/java/org/plantainshunt/call/EntryCall.java
+++ b/node/src/main/java/org/plantainshunt/call/EntryCall.java
@@ -30,6 +30,11 @@
     /** Whether the call names a request that runs at this node's backend server by its id, without a token. */
     boolean nested;
 
+    /** The progress of the request running here that the call is made for. */
+    Optional<RequestProgress> progress = Optional.empty();
+    /** Whether an earlier call for the same request was answered before this one. */
+    boolean continues;
+
     int retries;
     boolean done;
     /** The VM that the call was last sent to. */
@@ -57,6 +62,12 @@
         this.deadline = Long.MAX_VALUE / 2;
     }
 
+    /** Makes this a call for a request that runs here. */
+    void setProgress(RequestProgress progressOfRequest) {
+        progress = Optional.of(progressOfRequest);
+        continues = progressOfRequest.hasAnsweredCalls();
+    }
+
     void setAllowance(RetryShare given, int downstreamCalls) {
         share = given;
         allowance = new AttemptAllowance(given, downstreamCalls);
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -251,7 +251,13 @@
     private CallEntry entry(CallMessage message, Kind kind, long deadline, long arrivedAt) {
         String id = callIdPrefix + nextCall++;
         return new CallEntry(
-                id, Priority.ofValue(message.priority()), kind.name(), kind.atMostOnce(), deadline, arrivedAt);
+                id,
+                Priority.ofValue(message.priority()),
+                message.continues(),
+                kind.name(),
+                kind.atMostOnce(),
+                deadline,
+                arrivedAt);
     }
 
     /**
@@ -320,7 +326,12 @@
         call.context = environment
                 .contexts()
                 .open(new CallContexts.Context(
-                        message.requestId(), call.kind, call.entry.priority(), call.entry.deadline(), call.ledger));
+                        message.requestId(),
+                        call.kind,
+                        call.entry.priority(),
+                        call.entry.deadline(),
+                        call.ledger,
+                        new RequestProgress(message.continues())));
         environment.recorder().started(call.entry, message, now);
         BackendServer.Handover handover = new BackendServer.Handover(
                 call.entry.id(),
--- a/node/src/main/java/org/plantainshunt/telemetry/DecisionTrace.java
+++ b/node/src/main/java/org/plantainshunt/telemetry/DecisionTrace.java
@@ -66,6 +66,7 @@
                 priority.priorityClass(),
                 priority.cohort(),
                 entry.atMostOnce(),
+                entry.continues(),
                 (entry.deadline() - now) / NANOSECONDS_PER_MILLISECOND));
     }
 
--- a/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/CallMessage.java
@@ -17,6 +17,7 @@
  * @param body whole body; empty if there is none
  * @param requestId ID of the request that started the call chain
  * @param priority 0 (most important) to 511
+ * @param continues whether an earlier call for the same request was answered, so that a refusal would waste its work
  * @param deadlineMilliseconds time left, in milliseconds; the time a call waits to be sent is subtracted
  * @param share retry allowance of this call and its downstream calls, and whether it repeats a call that may have run
  * @param ticket ticket of a call that runs at most once
@@ -32,6 +33,7 @@
         byte[] body,
         String requestId,
         int priority,
+        boolean continues,
         long deadlineMilliseconds,
         RetryShare share,
         Optional<String> ticket,
--- a/protocol/src/main/java/org/plantainshunt/protocol/FrameConverter.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/FrameConverter.java
@@ -48,6 +48,7 @@
                 .setBodyLength(message.body().length)
                 .setRequestId(message.requestId())
                 .setPriority(message.priority())
+                .setContinues(message.continues())
                 .setDeadlineMilliseconds(deadlineMilliseconds)
                 .setAllowance(message.share().allowance())
                 .setRepeat(message.share().repeat())
@@ -68,6 +69,7 @@
                 body,
                 start.getRequestId(),
                 start.getPriority(),
+                start.getContinues(),
                 Math.max(0, start.getDeadlineMilliseconds() - elapsedMilliseconds),
                 new RetryShare(start.getAllowance(), start.getRepeat()),
                 start.hasTicket() ? Optional.of(start.getTicket()) : Optional.empty(),
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStart.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStart.java
@@ -478,6 +478,21 @@
     return sentNanoseconds_;
   }
 
+  public static final int CONTINUES_FIELD_NUMBER = 17;
+  private boolean continues_ = false;
+  /**
+   * <pre>
+   * Whether an earlier call for the same request was answered; see CallMessage.
+   * </pre>
+   *
+   * <code>bool continues = 17;</code>
+   * @return The continues.
+   */
+  @java.lang.Override
+  public boolean getContinues() {
+    return continues_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -540,6 +555,9 @@
     if (sentNanoseconds_ != 0L) {
       output.writeSFixed64(16, sentNanoseconds_);
     }
+    if (continues_ != false) {
+      output.writeBool(17, continues_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -606,6 +624,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSFixed64Size(16, sentNanoseconds_);
     }
+    if (continues_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(17, continues_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -656,6 +678,8 @@
         != other.getRepeat()) return false;
     if (getSentNanoseconds()
         != other.getSentNanoseconds()) return false;
+    if (getContinues()
+        != other.getContinues()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -708,6 +732,9 @@
     hash = (37 * hash) + SENT_NANOSECONDS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSentNanoseconds());
+    hash = (37 * hash) + CONTINUES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getContinues());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -865,6 +892,7 @@
       documentNumber_ = 0L;
       repeat_ = false;
       sentNanoseconds_ = 0L;
+      continues_ = false;
       return this;
     }
 
@@ -958,6 +986,9 @@
       if (((from_bitField0_ & 0x00008000) != 0)) {
         result.sentNanoseconds_ = sentNanoseconds_;
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.continues_ = continues_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1058,6 +1089,9 @@
       if (other.getSentNanoseconds() != 0L) {
         setSentNanoseconds(other.getSentNanoseconds());
       }
+      if (other.getContinues() != false) {
+        setContinues(other.getContinues());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1172,6 +1206,11 @@
               bitField0_ |= 0x00008000;
               break;
             } // case 129
+            case 136: {
+              continues_ = input.readBool();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2232,6 +2271,50 @@
       return this;
     }
 
+    private boolean continues_ ;
+    /**
+     * <pre>
+     * Whether an earlier call for the same request was answered; see CallMessage.
+     * </pre>
+     *
+     * <code>bool continues = 17;</code>
+     * @return The continues.
+     */
+    @java.lang.Override
+    public boolean getContinues() {
+      return continues_;
+    }
+    /**
+     * <pre>
+     * Whether an earlier call for the same request was answered; see CallMessage.
+     * </pre>
+     *
+     * <code>bool continues = 17;</code>
+     * @param value The continues to set.
+     * @return This builder for chaining.
+     */
+    public Builder setContinues(boolean value) {
+
+      continues_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether an earlier call for the same request was answered; see CallMessage.
+     * </pre>
+     *
+     * <code>bool continues = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearContinues() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      continues_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:plantainshunt.protocol.CallStart)
   }
 
--- a/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStartOrBuilder.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/wire/CallStartOrBuilder.java
@@ -182,4 +182,14 @@
    * @return The sentNanoseconds.
    */
   long getSentNanoseconds();
+
+  /**
+   * <pre>
+   * Whether an earlier call for the same request was answered; see CallMessage.
+   * </pre>
+   *
+   * <code>bool continues = 17;</code>
+   * @return The continues.
+   */
+  boolean getContinues();
 }
--- a/protocol/src/test/java/org/plantainshunt/protocol/RecordingHandler.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/RecordingHandler.java
@@ -60,6 +60,7 @@
                 body,
                 "request-1",
                 511,
+                true,
                 deadlineMilliseconds,
                 new RetryShare(3, true),
                 Optional.of("vm-1.2.3"),
