Refuse failing kinds of requests only while a service lacks capacity

Cause: FailureShedding took every failure for a sign of overload.

Change: a failure counts for shedding only if a server of a service that the request needs has reported a level below 512 within the last 2 s. Whether failures are widespread, which decides on retries, still counts all of them. The tests of FailureShedding state the new argument as true, as before.

--- a/core/src/main/java/org/plantainshunt/admission/FailureShedding.java
+++ b/core/src/main/java/org/plantainshunt/admission/FailureShedding.java
@@ -17,7 +17,8 @@
  * often, a growing share of it is refused before it is sent, until the rest succeeds. Among the kinds that fail, only
  * the least important class is refused at first; the next one follows when the refused share of that class is close to
  * its maximum. Kinds that succeed are never refused, and a few failures, such as those of one faulty server among
- * several, are tolerated. Confined to one thread.
+ * several, are tolerated. Failures while no service that the request needed lacked capacity have another cause, which
+ * refusals would not relieve, and do not count. Confined to one thread.
  *
  * <pre>{@code
  * if (shedding.refuses(kind, now)) {
@@ -93,22 +94,25 @@
      *
      * @param kind its kind
      * @param failed whether the backend server failed or took too long
+     * @param lackedCapacity whether a service that the request needed has lacked capacity lately
      * @param now the time in nanoseconds
      */
-    public void ended(Kind kind, boolean failed, long now) {
+    public void ended(Kind kind, boolean failed, boolean lackedCapacity, long now) {
         Results results = byKind.get(kind);
         if (results == null) {
             removeUnused(now);
             results = new Results(now);
             byKind.put(kind, results);
         }
-        results.add(failed, now);
+        results.add(failed, failed && lackedCapacity, now);
     }
 
     /** Returns whether too many requests of a kind fail for a single faulty backend server to be the cause. */
     public boolean hasWidespreadFailures(Kind kind, long now) {
         Results results = byKind.get(kind);
-        return results != null && results.failingShare(now) > TARGET_FAILING_SHARE;
+        return results != null
+                && results.all.weight(now) >= ENOUGH_RESULTS
+                && results.all.share(now) > TARGET_FAILING_SHARE;
     }
 
     /** Returns the share of a kind's requests that is refused now, 0 to 1. */
@@ -171,7 +175,8 @@
     /** The recent results of a kind, and the share of its requests that is refused. */
     private static final class Results {
         private final DecayingFailureShare all = new DecayingFailureShare(TIME_CONSTANT);
-        private final DecayingFailureShare recent = new DecayingFailureShare(RECENT_TIME_CONSTANT);
+        private final DecayingFailureShare overloads = new DecayingFailureShare(TIME_CONSTANT);
+        private final DecayingFailureShare recentOverloads = new DecayingFailureShare(RECENT_TIME_CONSTANT);
         private long updatedAt;
         private long usedAt;
         private double refusedShare;
@@ -181,17 +186,18 @@
             usedAt = now;
         }
 
-        void add(boolean failed, long now) {
+        void add(boolean failed, boolean overload, long now) {
             all.add(failed, now);
-            recent.add(failed, now);
+            overloads.add(overload, now);
+            recentOverloads.add(overload, now);
         }
 
         double failingShare(long now) {
-            return all.weight(now) < ENOUGH_RESULTS ? 0 : all.share(now);
+            return overloads.weight(now) < ENOUGH_RESULTS ? 0 : overloads.share(now);
         }
 
         double recentFailingShare(long now) {
-            return recent.weight(now) < ENOUGH_RECENT_RESULTS ? failingShare(now) : recent.share(now);
+            return recentOverloads.weight(now) < ENOUGH_RECENT_RESULTS ? failingShare(now) : recentOverloads.share(now);
         }
     }
 }
--- a/core/src/main/java/org/plantainshunt/routing/DownstreamLevels.java
+++ b/core/src/main/java/org/plantainshunt/routing/DownstreamLevels.java
@@ -31,6 +31,9 @@
     /** The age up to which a reported level is used unchanged, in nanoseconds. */
     private static final long FRESH_FOR = TimeUnit.SECONDS.toNanos(1);
 
+    /** How long a lack of capacity explains failures after the last report of it, in nanoseconds. */
+    private static final long EXPLAINS_FAILURES_FOR = TimeUnit.SECONDS.toNanos(2);
+
     /** The time for one step of the rise, in nanoseconds. */
     private static final long STEP_TIME = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -45,6 +48,7 @@
 
     private final BiFunction<String, String, Optional<Kind>> kinds;
     private final Map<String, Map<String, Report>> reports = new HashMap<>();
+    private final Map<String, Long> lackedCapacityAt = new HashMap<>();
     private final Map<String, Integer> refusedSinceProbe = new HashMap<>();
 
     /**
@@ -106,12 +110,26 @@
      * @param now the time in nanoseconds
      */
     public void report(String vm, String service, int level, long now) {
+        if (level < ADMITS_ALL) {
+            lackedCapacityAt.put(service, now);
+        }
         if (level >= ADMITS_ALL && !reports.containsKey(service)) {
             return;
         }
         reports.computeIfAbsent(service, name -> new HashMap<>()).put(vm, new Report(level, now));
     }
 
+    /** Returns whether a server of one of these services has reported lately that it does not admit all calls. */
+    public boolean lackedCapacity(Set<String> services, long now) {
+        for (String service : services) {
+            Long reportedAt = lackedCapacityAt.get(service);
+            if (reportedAt != null && now - reportedAt <= EXPLAINS_FAILURES_FOR) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Removes the reports of a VM that is no longer usable. */
     public void removeReports(String vm) {
         reports.values().forEach(byVm -> byVm.remove(vm));
--- a/core/src/test/java/org/plantainshunt/admission/FailureSheddingFleetTest.java
+++ b/core/src/test/java/org/plantainshunt/admission/FailureSheddingFleetTest.java
@@ -70,7 +70,7 @@
                     running.add(request);
                     continue;
                 }
-                request.node.ended(kind, !served, now);
+                request.node.ended(kind, !served, true, now);
                 succeeded += served && now >= WARM_UP_SECONDS * SECOND ? 1 : 0;
             }
             FailureShedding node = nodes.get(random.nextInt(count));
--- a/core/src/test/java/org/plantainshunt/admission/FailureSheddingTest.java
+++ b/core/src/test/java/org/plantainshunt/admission/FailureSheddingTest.java
@@ -81,7 +81,7 @@
             now += 10 * MILLISECOND;
             for (Kind kind : kinds) {
                 if (!shedding.refuses(kind, now)) {
-                    shedding.ended(kind, fails.test(number), now);
+                    shedding.ended(kind, fails.test(number), true, now);
                 }
             }
         }
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -296,7 +296,7 @@
         if (!end(attempt, end, answer.load(), OptionalInt.of(answer.unusedAllowance()))) {
             return;
         }
-        shedding.ended(call.kind, error, environment.now());
+        recordEnd(call, error);
         CallReply reply = new CallReply(
                 call.requestId,
                 answer.code(),
@@ -360,7 +360,7 @@
             return;
         }
         if (refusal.code() == ResultCode.DEADLINE_PASSED_AFTER_HANDOVER) {
-            shedding.ended(call.kind, true, environment.now());
+            recordEnd(call, true);
         }
         if (refusal.code() == ResultCode.DRAINING) {
             Upstream upstream = attempt.upstream;
@@ -379,6 +379,11 @@
         retry(call, attempt, share.get(), refusal.code(), refusal.detail());
     }
 
+    private void recordEnd(EntryCall call, boolean failed) {
+        long now = environment.now();
+        shedding.ended(call.kind, failed, levels.lackedCapacity(call.kind, now), now);
+    }
+
     /** Refusing a call that continues a request would waste the work of its earlier calls. */
     private Optional<Refusal> downstreamRefusal(EntryCall call, long now) {
         return call.continues ? Optional.empty() : levels.check(call.kind, call.priority.value(), now);
@@ -439,7 +444,7 @@
             refuse(call, CallsEnd.refusal(RunState.UNKNOWN));
             return;
         }
-        shedding.ended(call.kind, true, environment.now());
+        recordEnd(call, true);
         refuse(call, Refusal.of(ResultCode.DEADLINE_PASSED_AFTER_HANDOVER, "no verdict of the serving node in time"));
     }
 
--- a/node/src/main/java/org/plantainshunt/call/ServiceLevels.java
+++ b/node/src/main/java/org/plantainshunt/call/ServiceLevels.java
@@ -38,6 +38,13 @@
         return levels.check(kind, reportedDownstream.getOrDefault(kind, Set.of()), priorityValue, now);
     }
 
+    /** Returns whether a service that requests of this kind need has lacked capacity lately. */
+    boolean lackedCapacity(Kind kind, long now) {
+        Set<String> services = downstreamServices(kind);
+        services.add(kind.service());
+        return levels.lackedCapacity(services, now);
+    }
+
     /** Returns the admission levels of those downstream services of a kind of request that shed load. */
     Map<String, Integer> downstreamLevels(Kind kind, long now) {
         Map<String, Integer> levelsByService = new HashMap<>(levels.levels(now));
--- a/node/src/test/java/org/plantainshunt/call/ChainFleet.java
+++ b/node/src/test/java/org/plantainshunt/call/ChainFleet.java
@@ -76,6 +76,8 @@
     private final FakeFleet fleet;
     private final Map<String, int[]> sent = new HashMap<>();
     private final Map<String, int[]> served = new HashMap<>();
+    private final Map<String, int[]> refusedAtEntry = new HashMap<>();
+    private final Map<String, int[]> otherReplies = new HashMap<>();
     private int laterCallsRefused;
     private final int seconds;
     private int attempts;
@@ -164,6 +166,12 @@
         return (double) sum(served, kind, from, to) / Math.max(1, sum(sent, kind, from, to));
     }
 
+    /** Returns the share of the replies to requests in these seconds that were refusals of an entry node. */
+    double refusedShare(String kind, int from, int to) {
+        double refused = sum(refusedAtEntry, kind, from, to);
+        return refused / Math.max(1, refused + sum(otherReplies, kind, from, to));
+    }
+
     /** Returns the work of the requests served in these seconds, as a share of the scarce service's capacity. */
     double goodput(int from, int to) {
         double work = 0;
@@ -225,6 +233,8 @@
     }
 
     private void replied(String kind, long firstSentAt, int attempt, CallReply reply) {
+        boolean refused = reply.code() == ResultCode.OVERLOADED_DOWNSTREAM;
+        count(refused ? refusedAtEntry : otherReplies, kind, fleet.now());
         long left = firstSentAt + CALLER_TIME - fleet.now();
         if (reply.status() == 200) {
             count(served, kind, firstSentAt);
--- a/node/src/test/java/org/plantainshunt/call/ChainOverloadTest.java
+++ b/node/src/test/java/org/plantainshunt/call/ChainOverloadTest.java
@@ -31,6 +31,20 @@
         assertTrue(goodput > MIN_GOODPUT * BEST_SHARE_OF_SLOTS, "goodput " + goodput);
     }
 
+    /** Guards against refusals of requests that fail for another cause, and against refusals after it has ended. */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "4, 4", "30, 8"})
+    void requestsAreNotRefusedForFailuresWithoutOverload(int servers, int scarceServers) throws Exception {
+        ChainFleet fleet = new ChainFleet(SEED, servers, scarceServers, SECONDS);
+        fleet.load(0, SECONDS, 0.6);
+        fleet.reject(3, 11.5, 0.55);
+        fleet.run();
+        assertEquals(0, fleet.refusedShare(ChainFleet.BROWSE, 4, 11), "while servers reject calls");
+        double before = fleet.goodput(1, 3);
+        double after = fleet.goodput(13, COUNTED_TO);
+        assertTrue(after > 0.95 * before, "goodput " + after + " after the rejections, " + before + " before");
+    }
+
     /** Guards against capacity spent on requests that are refused after some of their calls were answered. */
     @ParameterizedTest
     @CsvSource({"1, 1", "4, 4", "30, 8"})
