Give a running server its share back soon after its node was restarted

Cause: a new incarnation of a node was taken for a cold backend server, whose share grows from a tenth over 10 s. The platform restarts nodes while the upstreams beside them run on.

A server restarted under the id that it had is taken for a running one.

--- a/core/src/main/java/org/plantainshunt/membership/Membership.java
+++ b/core/src/main/java/org/plantainshunt/membership/Membership.java
@@ -188,7 +188,7 @@
         Distance distance = distance(vm);
         int slots = vm.slots().orElseGet(() -> slotsOfService.applyAsInt(vm.service()));
         if (entry.upstream != null && entry.upstream.vm().service().equals(vm.service())) {
-            entry.upstream.configure(vm, distance, slots);
+            entry.upstream.configure(vm, distance, slots, now);
             return;
         }
         entry.upstream = new Upstream(vm, distance, slots);
--- a/core/src/main/java/org/plantainshunt/routing/Upstream.java
+++ b/core/src/main/java/org/plantainshunt/routing/Upstream.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainshunt.admission.DecayingFailureShare;
@@ -87,6 +88,9 @@
     private Vm vm;
     private int slots;
     private long incarnation;
+    /** The backend server that the present incarnation of its node serves, if the VM list names it. */
+    private Optional<String> servedInstance = Optional.empty();
+
     private double typicalLatency;
     private double recentLatency;
     private double lowestLatency;
@@ -117,9 +121,19 @@
         this.slots = slots;
     }
 
-    /** Replaces the entry of the VM list, the distance and the slots, and keeps the observations. */
-    public void configure(Vm newVm, Distance newDistance, int newSlots) {
+    /**
+     * Replaces the entry of the VM list, the distance and the slots, and keeps the observations. A backend server that
+     * replaces another under the same node is cold.
+     *
+     * @param now the time in nanoseconds
+     */
+    public void configure(Vm newVm, Distance newDistance, int newSlots, long now) {
+        boolean replaced = vm.instance().isPresent() && !vm.instance().equals(newVm.instance());
         this.vm = newVm;
+        if (replaced) {
+            servedInstance = newVm.instance();
+            ramp.start(now);
+        }
         this.distance = newDistance;
         this.slots = newSlots;
     }
@@ -234,7 +248,8 @@
     }
 
     /**
-     * Records that the node's process has been replaced, so its backend server may be cold.
+     * Records that the node's process has been replaced. Its backend server may be cold, unless the VM list names the
+     * same one as before, which then ran on while its node was restarted.
      *
      * <p>The late share is reset; calls to the former process that are still outstanding are not classified.
      *
@@ -253,7 +268,12 @@
         lateShare = 0;
         refusedAt = NEVER;
         trials.clear();
-        ramp.start(now);
+        if (servedInstance.isPresent() && servedInstance.equals(vm.instance())) {
+            ramp.recovered(now);
+        } else {
+            ramp.start(now);
+        }
+        servedInstance = vm.instance();
     }
 
     /**
--- a/core/src/test/java/org/plantainshunt/routing/BackendServerChoiceTest.java
+++ b/core/src/test/java/org/plantainshunt/routing/BackendServerChoiceTest.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
@@ -22,6 +24,9 @@
     private static final long SECOND = RoutingModel.SECOND;
     private static final long SEED = 7;
 
+    /** The bound of the brief for the recovery of goodput. */
+    private static final int MAX_RECOVERY_SECONDS = 5;
+
     private final List<Upstream> upstreams = new ArrayList<>();
     private final BackendServerChoice choice = new BackendServerChoice(new Random(SEED));
     private long calls;
@@ -165,6 +170,45 @@
         assertEquals(0.25, last, 0.02);
     }
 
+    /** Guards against overloaded peers of a running server that gets few calls because its node was restarted. */
+    @Test
+    void runningServerIsBackSoonAfterItsNodeWasRestarted() {
+        createWithInstances(4);
+        upstreams.get(0).newIncarnation(5, 0);
+        upstreams.get(0).newIncarnation(6, 20 * SECOND);
+        assertEquals(0.25, share(upstreams.get(0), (20 + MAX_RECOVERY_SECONDS) * SECOND), 0.02);
+    }
+
+    /** Guards against a full share for a backend server that has just replaced another. */
+    @Test
+    void serverThatReplacedAnotherIsCold() {
+        createWithInstances(4);
+        Upstream first = upstreams.get(0);
+        first.newIncarnation(5, 0);
+        first.newIncarnation(6, 20 * SECOND);
+        first.configure(instance(first, "new"), first.distance(), 4, 20 * SECOND);
+        double replaced = share(first, 20 * SECOND + MILLISECOND);
+        assertTrue(replaced < 0.05, "share " + replaced);
+    }
+
+    private void createWithInstances(int number) {
+        create(number);
+        upstreams.forEach(each -> each.configure(instance(each, "instance"), each.distance(), 4, 0));
+    }
+
+    private static Vm instance(Upstream upstream, String instance) {
+        Vm vm = upstream.vm();
+        return new Vm(
+                vm.name(),
+                vm.service(),
+                vm.dataCentre(),
+                vm.address(),
+                vm.innerPort(),
+                false,
+                OptionalInt.empty(),
+                Optional.of(instance));
+    }
+
     /** A cold server is slow at first and needs calls that warm it up; a slow warm one must be detected. */
     @Test
     void coldServerIsNotMarkedSlowWhileItRampsUp() {
