--- a/node/src/test/java/org/plantainshunt/call/ChainFleet.java
+++ b/node/src/test/java/org/plantainshunt/call/ChainFleet.java
@@ -87,14 +87,19 @@
     /** The calls that a request makes: to which service, of which kind, how many, and whether all at once. */
     record Calls(String service, String kind, int number, boolean together) {}
 
+    /** Creates a fleet in one region. */
     ChainFleet(long seed, int servers, int scarceServers, int seconds) throws InvalidDocumentException {
+        this(seed, servers, scarceServers, seconds, 1);
+    }
+
+    ChainFleet(long seed, int servers, int scarceServers, int seconds, int regions) throws InvalidDocumentException {
         this.seconds = seconds;
         List<Vm> vms = new ArrayList<>();
         for (String service : List.of("front", "middle", "deep")) {
             add(vms, service, servers, 8 * SCARCE_SLOTS / servers);
         }
         add(vms, "scarce", scarceServers, SCARCE_SLOTS / scarceServers);
-        fleet = new FakeFleet(seed, document(), new VmList(1, vms), vm -> new ChainBackendServer(this, vm));
+        fleet = new FakeFleet(seed, document(regions), new VmList(1, vms), vm -> new ChainBackendServer(this, vm));
     }
 
     static Calls callsOf(String kind) {
@@ -268,11 +273,11 @@
         }
     }
 
-    private static Document document() throws InvalidDocumentException {
+    private static Document document(int regions) throws InvalidDocumentException {
         DocumentBuilder builder = new DocumentBuilder(1, "chain")
                 .policy(new Policy(3, 0.12, Duration.ofSeconds(30), Duration.ofSeconds(30), 1 << 20, 1 << 20, 1, 3));
         for (int zone = 0; zone < 8; zone++) {
-            builder.dataCentre("zone-" + zone, "one");
+            builder.dataCentre("zone-" + zone, "region-" + zone % regions);
         }
         for (String service : List.of("front", "middle", "deep", "scarce")) {
             builder.service(new Service(service, 16, 630, 128, Duration.ofMillis(100), 1, 10));
--- a/node/src/test/java/org/plantainshunt/call/ChainOverloadTest.java
+++ b/node/src/test/java/org/plantainshunt/call/ChainOverloadTest.java
@@ -1,5 +1,7 @@
 package org.plantainshunt.call;
 
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -31,6 +33,17 @@
         assertTrue(goodput > MIN_GOODPUT * BEST_SHARE_OF_SLOTS, "goodput " + goodput);
     }
 
+    /** Guards against a region that refuses while the other has free slots: its two servers are the slower ones. */
+    @Test
+    @Tag("known-red")
+    void goodputHoldsIfTheRegionsDifferInCapacity() throws Exception {
+        ChainFleet fleet = new ChainFleet(SEED, 4, 4, SECONDS, 2);
+        fleet.load(0, SECONDS, 1.2);
+        fleet.run();
+        double goodput = fleet.goodput(COUNTED_FROM, COUNTED_TO);
+        assertTrue(goodput > MIN_GOODPUT, "goodput " + goodput);
+    }
+
     /** Guards against refusals of requests that fail for another cause, and against refusals after it has ended. */
     @ParameterizedTest
     @CsvSource({"1, 1", "4, 4", "30, 8"})
