--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -12,8 +12,8 @@
  * Decides which calls the backend server of this node runs, in which order, and which calls are refused.
  *
  * <p>Invariants: at most {@link #limit} calls run, except while calls that started under a higher limit end. No call is
- * refused for lack of space while a less important one waits; within a class, calls that continue a request are the most
- * important. Those are not refused for their priority. A slot is given only to a call whose deadline has not
+ * refused for lack of space while a less important one waits; within a class, calls that continue a request are the
+ * most important, and they are not refused for their priority. A slot is given only to a call whose deadline has not
  * passed. A call is refused for its priority only while the slots are full and the queue holds the target delay's worth
  * of work. A call holds its slot until it is finished; {@link #callsToGiveUp} bounds that time.
  *
