--- a/node/src/main/java/org/plantainshunt/call/EntryCall.java
+++ b/node/src/main/java/org/plantainshunt/call/EntryCall.java
@@ -68,6 +68,13 @@
         continues = progressOfRequest.hasAnsweredCalls();
     }
 
+    /** Notes at the request that it has had a call answered, unless the reply is a refusal or an error. */
+    void updateProgress(CallReply reply) {
+        if (reply.refusal().isEmpty() && reply.status() < EntrySide.MIN_SERVER_ERROR_STATUS) {
+            progress.ifPresent(RequestProgress::callWasAnswered);
+        }
+    }
+
     void setAllowance(RetryShare given, int downstreamCalls) {
         share = given;
         allowance = new AttemptAllowance(given, downstreamCalls);
--- a/node/src/main/java/org/plantainshunt/call/EntrySide.java
+++ b/node/src/main/java/org/plantainshunt/call/EntrySide.java
@@ -52,7 +52,7 @@
      */
     private static final long RETRY_AFTER_SHED_MILLISECONDS = 2_000;
 
-    private static final int MIN_SERVER_ERROR_STATUS = 500;
+    static final int MIN_SERVER_ERROR_STATUS = 500;
 
     /**
      * The number of retries that are charged to the budget if the earlier attempt may have run. Such a retry repeats
@@ -380,8 +380,7 @@
     }
 
     private void recordEnd(EntryCall call, boolean failed) {
-        long now = environment.now();
-        shedding.ended(call.kind, failed, levels.lackedCapacity(call.kind, now), now);
+        shedding.ended(call.kind, failed, levels.lackedCapacity(call.kind, environment.now()), environment.now());
     }
 
     /** Refusing a call that continues a request would waste the work of its earlier calls. */
@@ -487,9 +486,7 @@
         if (call.attempt != null) {
             call.attempt.finish(UpstreamEnd.CANCELLED, environment.now());
         }
-        if (reply.refusal().isEmpty() && reply.status() < MIN_SERVER_ERROR_STATUS) {
-            call.progress.ifPresent(RequestProgress::callWasAnswered);
-        }
+        call.updateProgress(reply);
         call.hop.end(call.requestId, reply.code());
         environment.recorder().replied(call.inbound, reply, decisionBasis(call), environment.now());
         call.reply.replied(reply);
--- a/node/src/main/java/org/plantainshunt/call/RequestProgress.java
+++ b/node/src/main/java/org/plantainshunt/call/RequestProgress.java
@@ -1,7 +1,7 @@
 package org.plantainshunt.call;
 
 /**
- * Whether calls that were made for a request have been answered, so that their work is wasted if a later one is refused.
+ * Whether calls that were made for a request have been answered, whose work is wasted if a later one is refused.
  *
  * <p>Confined to the decision thread.
  */
--- a/node/src/test/java/org/plantainshunt/call/ChainBackendServer.java
+++ b/node/src/test/java/org/plantainshunt/call/ChainBackendServer.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-/** A backend server that makes the calls which {@link ChainFleet} states for a request, and fails if one of them does. */
+/** A backend server that makes the calls of a request as {@link ChainFleet} states them, and fails if one fails. */
 final class ChainBackendServer extends FakeBackendServer {
     private final ChainFleet chain;
     private final FakeVm vm;
--- a/node/src/test/java/org/plantainshunt/telemetry/DecisionTraceTest.java
+++ b/node/src/test/java/org/plantainshunt/telemetry/DecisionTraceTest.java
@@ -50,7 +50,8 @@
                 lines.get(0).toString());
         assertEquals(
                 "{\"event\":\"arrival\",\"time\":500,\"call\":\"c-1\",\"request\":\"r-1\",\"kind\":\"store\","
-                        + "\"priorityClass\":\"IMPORTANT\",\"cohort\":7,\"atMostOnce\":true,\"continues\":false,\"deadlineLeft\":1000.0}",
+                        + "\"priorityClass\":\"IMPORTANT\",\"cohort\":7,\"atMostOnce\":true,"
+                        + "\"continues\":false,\"deadlineLeft\":1000.0}",
                 lines.get(1).toString());
         assertEquals(
                 "{\"event\":\"hand-over\",\"time\":700,\"call\":\"c-1\"}",
