Reject what a VM list cannot contain when a VM is created

Cause: RegistrationReader accepted addresses that VmList.parse rejects (IPv6, scopes, digits of other scripts), and the address is the VM's name too; one such entry made every node reject its own VM list as a whole.

Change: the constructor of Vm rejects by the parser's own functions what a list cannot contain.

--- a/core/src/main/java/org/plantainshunt/configuration/VmList.java
+++ b/core/src/main/java/org/plantainshunt/configuration/VmList.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.regex.Pattern;
 
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -28,14 +27,8 @@
 public record VmList(long revision, List<Vm> vms) implements Comparable<VmList> {
     private static final String LIST_SECTION = "vm-list";
     private static final String VM_PREFIX = "vm ";
-    private static final int MAX_PORT = 65_535;
-    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*");
-    private static final Pattern IP4 = Pattern.compile("((25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)(\\.|$)){4}(?<!\\.)");
-    private static final Pattern IP6 = Pattern.compile("[0-9a-fA-F]{0,4}(:[0-9a-fA-F]{0,4}){2,7}");
     private static final List<String> VM_KEYS =
             List.of("service", "data-centre", "address", "inner-port", "state", "slots", "instance");
-    /** The largest number of slots that a list may state for a VM. */
-    public static final int MAX_SLOTS = 1_000_000;
 
     /** Copies the list of VMs. */
     public VmList {
@@ -132,18 +125,19 @@
         }
 
         private void readVm(String heading, ImmutableNode section) {
+            int errorsBefore = errors.size();
             String name = heading.substring(VM_PREFIX.length()).trim();
-            if (!NAME.matcher(name).matches()) {
+            if (!Vm.isName(name)) {
                 errors.add("[" + heading + "]: \"" + name + "\" is not a name of letters, digits, '.', '-' and '_'");
             }
             checkKeys(heading, section, VM_KEYS);
             String service = name(heading, section, "service");
             String dataCentre = name(heading, section, "data-centre");
             String address = text(heading, section, "address");
-            if (!address.isEmpty() && !isIpAddress(address)) {
+            if (!address.isEmpty() && !Vm.isIpAddress(address)) {
                 errors.add("[" + heading + "]: address \"" + address + "\" is not an IP address");
             }
-            int port = (int) number(heading, section, "inner-port", 1, MAX_PORT);
+            int port = (int) number(heading, section, "inner-port", 1, Vm.MAX_PORT);
             String state = text(heading, section, "state");
             if (!state.isEmpty() && !state.equals("live") && !state.equals("leaving")) {
                 errors.add("[" + heading + "]: state \"" + state + "\" is neither live nor leaving");
@@ -153,10 +147,13 @@
                 errors.add("[" + heading + "]: " + address + " port " + port + " is already that of " + earlier);
             }
             OptionalInt slots = hasKey(section, "slots")
-                    ? OptionalInt.of((int) number(heading, section, "slots", 1, MAX_SLOTS))
+                    ? OptionalInt.of((int) number(heading, section, "slots", 1, Vm.MAX_SLOTS))
                     : OptionalInt.empty();
             Optional<String> instance =
                     hasKey(section, "instance") ? Optional.of(name(heading, section, "instance")) : Optional.empty();
+            if (errors.size() > errorsBefore) {
+                return;
+            }
             vms.add(new Vm(name, service, dataCentre, address, port, state.equals("leaving"), slots, instance));
         }
 
@@ -197,7 +194,7 @@
 
         private String name(String heading, ImmutableNode section, String key) {
             String value = text(heading, section, key);
-            if (!value.isEmpty() && !NAME.matcher(value).matches()) {
+            if (!value.isEmpty() && !Vm.isName(value)) {
                 errors.add("[" + heading + "]: " + key + " \"" + value + "\" is not a name");
             }
             return value;
@@ -219,9 +216,5 @@
             errors.add("[" + heading + "]: " + key + " \"" + value + "\" is not a number from " + min + " to " + max);
             return min;
         }
-
-        private static boolean isIpAddress(String address) {
-            return IP4.matcher(address).matches() || IP6.matcher(address).matches();
-        }
     }
 }
--- a/core/src/test/java/org/plantainshunt/configuration/VmListTest.java
+++ b/core/src/test/java/org/plantainshunt/configuration/VmListTest.java
@@ -34,6 +34,29 @@
         assertEquals(list, VmList.parse(list.text()));
     }
 
+    /** Guards against a node that writes a VM list which all nodes reject. */
+    @Test
+    void vmThatNoListCanContainCannotBeCreated() {
+        for (String address :
+                List.of("host", "", "10.0.0.256", "1\uff10.0.0.1", "10.0.0.1 ", ":::::", "1:2:3", "::1%2")) {
+            assertThrows(
+                    IllegalArgumentException.class, () -> new Vm("b-1", "b", "erie-1", address, 7001, false), address);
+        }
+        for (String name : List.of("", "a b", "::1", "a]", "\u00e9")) {
+            assertThrows(IllegalArgumentException.class, () -> vm(name, "b", "erie-1", 1, "i-1"), name);
+            assertThrows(IllegalArgumentException.class, () -> vm("b-1", name, "erie-1", 1, "i-1"), name);
+            assertThrows(IllegalArgumentException.class, () -> vm("b-1", "b", name, 1, "i-1"), name);
+            assertThrows(IllegalArgumentException.class, () -> vm("b-1", "b", "erie-1", 1, name), name);
+        }
+        assertThrows(IllegalArgumentException.class, () -> vm("b-1", "b", "erie-1", 0, "i-1"));
+        assertThrows(IllegalArgumentException.class, () -> vm("b-1", "b", "erie-1", Vm.MAX_SLOTS + 1, "i-1"));
+        assertThrows(IllegalArgumentException.class, () -> new Vm("b-1", "b", "erie-1", "10.0.0.1", 65_536, false));
+    }
+
+    private static Vm vm(String name, String service, String dataCentre, int slots, String instance) {
+        return new Vm(name, service, dataCentre, "10.0.0.1", 7001, false, OptionalInt.of(slots), Optional.of(instance));
+    }
+
     @Test
     void readsRevisionAndVms() throws InvalidVmListException {
         VmList list = VmList.parse("[vm-list]\nrevision = 7\n" + VM);
