Do not take a cut watch for an outage of the store

Cause: what disappears after an outage is kept for 2.2 s, and each failed read counted as an outage.

--- a/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
+++ b/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
@@ -56,6 +56,33 @@
         assertEquals(List.of("a", "b"), instances());
     }
 
+    /** Guards against new work for a backend server that left right after the store cut a watch. */
+    @Test
+    void removalCountsAtOnceIfTheStoreWasAwayOnlyForAMoment() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.storeReconnected(START);
+        long cutAt = START + 3 * SECOND;
+        registry.storeDisconnected();
+        registry.storeSeen(cutAt);
+        long readAt = cutAt + SECOND / 2;
+        registry.storeReconnected(readAt);
+        registry.replace(Map.of("b", at("10.0.0.2", "b", 1)), 11, readAt);
+        assertEquals(List.of("b"), instances());
+    }
+
+    /** Guards against taking the end of an outage for that of its last failed attempt. */
+    @Test
+    void attemptsThatFailDuringAnOutageDoNotShortenIt() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.storeReconnected(START);
+        for (int attempt = 1; attempt < 10; attempt++) {
+            registry.storeDisconnected();
+        }
+        registry.storeReconnected(START + 5 * SECOND);
+        registry.replace(Map.of("b", at("10.0.0.2", "b", 1)), 11, START + 5 * SECOND);
+        assertEquals(List.of("a", "b"), instances());
+    }
+
     /** Guards against keeping a backend server that died during the outage. */
     @Test
     void registrationThatIsNotRenewedIsRemoved() {
