Refuse calls that wait for a backend server whose entry is gone

Cause: a node ignored that the VM list no longer has the entry of its own backend server.

Change: such a node refuses waiting and new calls as not run, with a code that does not mark its incarnation as leaving, and serves again when the entry is back. A queue that is created while the server drains is closed too.

--- a/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/plantainshunt/admission/AdmissionQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.plantainshunt.configuration.Service;
@@ -43,7 +44,7 @@
     private long targetDelay;
     private long nextSequence;
     private int running;
-    private boolean draining;
+    private Optional<ResultCode> closedBecause = Optional.empty();
 
     /**
      * A call that is refused, and why.
@@ -77,8 +78,8 @@
         }
         updateState(now);
         entry.sequence = nextSequence++;
-        if (draining) {
-            return refuse(entry, drainingRefusal(entry));
+        if (closedBecause.isPresent()) {
+            return refuse(entry, closedRefusal(entry));
         }
         level.offered(entry.priority());
         if (expired(entry, now)) {
@@ -209,19 +210,31 @@
 
     /** Refuses the waiting calls and all further ones with {@link ResultCode#DRAINING}; running calls go on. */
     public void drain() {
-        draining = true;
+        close(ResultCode.DRAINING);
+    }
+
+    /**
+     * Refuses the waiting calls and all further ones with {@link ResultCode#CONNECT_FAILED}, because the backend server
+     * is no longer listed; running calls go on. Unlike a drain, this says nothing about the node.
+     */
+    public void unlist() {
+        close(ResultCode.CONNECT_FAILED);
+    }
+
+    /** Ends {@link #drain} and {@link #unlist}. */
+    public void reopen() {
+        closedBecause = Optional.empty();
+    }
+
+    private void close(ResultCode code) {
+        closedBecause = Optional.of(code);
         while (!waiting.isEmpty()) {
             CallEntry entry = waiting.leastImportant();
             waiting.remove(entry);
-            refuse(entry, drainingRefusal(entry));
+            refuse(entry, closedRefusal(entry));
         }
     }
 
-    /** Ends {@link #drain}. */
-    public void endDrain() {
-        draining = false;
-    }
-
     /** Applies new limits; running calls go on, and waiting calls over the new queue length are refused. */
     public void configure(Service newService) {
         applyLimits(newService);
@@ -317,9 +330,12 @@
         refuse(entry, new Refusal(ResultCode.OVERLOADED, detail, retryAfter.whenOverloaded(entry, waiting.size())));
     }
 
-    private Refusal drainingRefusal(CallEntry entry) {
-        return new Refusal(
-                ResultCode.DRAINING, "the backend server is leaving", retryAfter.forOtherBackendServer(entry));
+    private Refusal closedRefusal(CallEntry entry) {
+        ResultCode code = closedBecause.orElseThrow();
+        String detail = code == ResultCode.DRAINING
+                ? "the backend server is leaving"
+                : "the backend server is no longer listed";
+        return new Refusal(code, detail, retryAfter.forOtherBackendServer(entry));
     }
 
     private static Refusal deadlineTooShort(CallEntry entry) {
--- a/core/src/test/java/org/plantainshunt/admission/AdmissionQueuePropertyTest.java
+++ b/core/src/test/java/org/plantainshunt/admission/AdmissionQueuePropertyTest.java
@@ -105,7 +105,7 @@
                 queue.drain();
                 assertEquals(0, queue.waiting());
             } else {
-                queue.endDrain();
+                queue.reopen();
             }
         }
 
--- a/node/src/main/java/org/plantainshunt/call/CallCoordinator.java
+++ b/node/src/main/java/org/plantainshunt/call/CallCoordinator.java
@@ -115,10 +115,7 @@
         worker.submit(() -> {
             vmList = list;
             membership.vmList(list, clock.getAsLong());
-            list.vms().stream()
-                    .filter(vm -> vm.name().equals(identity.vm()))
-                    .findFirst()
-                    .ifPresent(this::updateOwnVm);
+            updateOwnVm(list);
             connections.retain(list.vms());
             updateLinkShares();
         });
@@ -129,13 +126,15 @@
      * while it is marked as leaving, this node refuses new calls to that backend server; entry nodes with an older list
      * may still send some. An entry of another service is not this node's backend server.
      */
-    private void updateOwnVm(Vm own) {
-        if (!own.service().equals(identity.service())) {
-            return;
-        }
+    private void updateOwnVm(VmList list) {
+        Optional<Vm> own = list.vms().stream()
+                .filter(vm -> vm.name().equals(identity.vm()) && vm.service().equals(identity.service()))
+                .findFirst();
         serving.updateOwnVm(own);
-        listedAsLeaving = own.leaving() && own.instance().isPresent();
-        updateDraining();
+        own.ifPresent(vm -> {
+            listedAsLeaving = vm.leaving() && vm.instance().isPresent();
+            updateDraining();
+        });
     }
 
     private void updateDraining() {
--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -67,6 +67,7 @@
     private Optional<String> instance = Optional.empty();
     private AdmissionQueue queue;
     private boolean draining;
+    private boolean unlisted;
     private long nextCall;
 
     ServingSide(
@@ -94,19 +95,27 @@
         environment.recorder().limits(limits, environment.now());
         if (queue == null) {
             queue = new AdmissionQueue(limits, this::refusedByQueue);
+            updateQueue();
             return;
         }
         queue.configure(limits);
         startReady(environment.now());
     }
 
-    /** Applies the VM list's entry for the backend server of this VM. */
-    void updateOwnVm(Vm own) {
-        instance = own.instance();
-        if (!ownSlots.equals(own.slots())) {
-            ownSlots = own.slots();
-            document.ifPresent(this::configure);
-        }
+    /**
+     * Applies the VM list's entry for the backend server of this VM, or its absence. A backend server whose entry had an
+     * instance id and is gone has left, whether it said so before or not, so nothing is handed over to it any more.
+     */
+    void updateOwnVm(Optional<Vm> own) {
+        unlisted = own.isEmpty() && instance.isPresent();
+        own.ifPresent(vm -> {
+            instance = vm.instance();
+            if (!ownSlots.equals(vm.slots())) {
+                ownSlots = vm.slots();
+                document.ifPresent(this::configure);
+            }
+        });
+        updateQueue();
     }
 
     /** Accepts a call from an entry node, which may be this node. */
@@ -147,6 +156,10 @@
             reply.refused(Refusal.of(ResultCode.DRAINING, "the backend server is leaving"));
             return;
         }
+        if (unlisted) {
+            reply.refused(Refusal.of(ResultCode.CONNECT_FAILED, "the backend server is no longer listed"));
+            return;
+        }
         try {
             Ticket ticket = tickets.issue(serviceName, kind, environment.now());
             reply.granted(ticket.toString());
@@ -162,17 +175,26 @@
         }
         draining = true;
         tickets.stopIssuing();
-        if (queue != null) {
-            queue.drain();
-        }
+        updateQueue();
     }
 
     /** Ends a drain, if there is one, so that new calls are accepted again. */
     void resume() {
         draining = false;
         tickets.resumeIssuing();
-        if (queue != null) {
-            queue.endDrain();
+        updateQueue();
+    }
+
+    private void updateQueue() {
+        if (queue == null) {
+            return;
+        }
+        if (draining) {
+            queue.drain();
+        } else if (unlisted) {
+            queue.unlist();
+        } else {
+            queue.reopen();
         }
     }
 
--- a/node/src/test/java/org/plantainshunt/call/FakeVm.java
+++ b/node/src/test/java/org/plantainshunt/call/FakeVm.java
@@ -45,7 +45,7 @@
     void start() {
         startWithoutVmList();
         membership.vmList(fleet.vmList(), fleet.now());
-        serving.updateOwnVm(listed);
+        serving.updateOwnVm(Optional.of(listed));
     }
 
     /** Starts a new process that has a configuration but no VM list. */
