Reject answers whose head is malformed

Cause: Netty's response decoder is lenient, and nothing checked what it had read.

Change: the bytes of each head are checked before they are decoded, for connections to the backend server and for Ratpack's clients, which include the store's on the platform. Status and fields are checked again at the two places that all answers pass: ServingSide and the inner protocol. Such an answer ends as ANSWER_CUT.

--- a/node/src/main/java/org/plantainshunt/call/ServingSide.java
+++ b/node/src/main/java/org/plantainshunt/call/ServingSide.java
@@ -24,6 +24,7 @@
 import org.plantainshunt.execution.TicketUse;
 import org.plantainshunt.protocol.AnswerListener;
 import org.plantainshunt.protocol.AnswerMessage;
+import org.plantainshunt.protocol.AnswerRules;
 import org.plantainshunt.protocol.CallMessage;
 import org.plantainshunt.protocol.CancelHandle;
 import org.plantainshunt.protocol.Header;
@@ -576,6 +577,11 @@
 
         @Override
         public void answered(int status, List<Header> headers, byte[] body) {
+            Optional<String> violation = AnswerRules.violation(status, headers);
+            if (violation.isPresent()) {
+                failed(BackendServer.FailureStage.ANSWER_CUT, violation.get());
+                return;
+            }
             environment.taskRunner().submit(() -> ServingSide.this.answered(call, status, headers, body));
         }
 
--- a/node/src/main/java/org/plantainshunt/http/BackendConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/BackendConnection.java
@@ -12,10 +12,13 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -150,7 +153,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail(head == null ? FailureStage.AFTER_SENT : FailureStage.ANSWER_CUT, "the connection failed: " + cause);
+        boolean answerBegan = head != null || cause instanceof DecoderException;
+        fail(answerBegan ? FailureStage.ANSWER_CUT : FailureStage.AFTER_SENT, "the connection failed: " + cause);
     }
 
     @Override
@@ -175,6 +179,10 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
+        if (!hasKnownEncoding(response)) {
+            fail(FailureStage.ANSWER_CUT, "the answer has an unknown transfer encoding");
+            return;
+        }
         head = response;
         matchesRequest = current.get().request().matchesResponse().test(response(new byte[0]));
         keepAlive = keepAlive && matchesRequest && HttpUtil.isKeepAlive(response);
@@ -240,6 +248,12 @@
         failing.ifPresent(exchange -> exchange.failed(stage, detail));
     }
 
+    private static boolean hasKnownEncoding(HttpResponse response) {
+        List<String> encodings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return encodings.isEmpty()
+                || encodings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
+    }
+
     private static long idleLimit(HttpResponse response) {
         String stated = response.headers().get("Keep-Alive", "");
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(stated);
@@ -249,11 +263,46 @@
         return (long) (IDLE_LIMIT_FRACTION * TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1))));
     }
 
-    /** Tells whether bytes are left that do not make a complete message yet. */
+    /**
+     * Decodes responses whose heads pass the check of {@link AnswerHead}, and tells whether bytes are left that do not
+     * make a complete message yet.
+     */
     private static final class Decoder extends HttpResponseDecoder {
+        private boolean headExpected = true;
+
         boolean hasUndecodedBytes() {
             return actualReadableBytes() > 0;
         }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+            if (headExpected && !checkHead(buffer)) {
+                return;
+            }
+            int before = out.size();
+            super.decode(ctx, buffer, out);
+            for (Object message : out.subList(before, out.size())) {
+                headExpected = message instanceof LastHttpContent || headExpected && !(message instanceof HttpResponse);
+            }
+        }
+
+        /** Returns whether a valid head has arrived completely; one that is too long is left to the decoder. */
+        private boolean checkHead(ByteBuf buffer) {
+            int end = AnswerHead.end(buffer);
+            if (end < 0) {
+                return buffer.readableBytes() > AnswerHead.MAX_BYTES;
+            }
+            Optional<String> violation = AnswerHead.violation(buffer, end);
+            if (violation.isPresent()) {
+                throw new DecoderException("not an HTTP answer: " + violation.get());
+            }
+            return true;
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new DecoderException("the answer has a length and a transfer encoding");
+        }
     }
 
     /** Closes the connection if bytes arrive while no request is in flight. */
--- a/node/src/main/java/org/plantainshunt/http/HttpPipelineExtension.java
+++ b/node/src/main/java/org/plantainshunt/http/HttpPipelineExtension.java
@@ -7,11 +7,14 @@
 import java.util.function.Function;
 
 import io.netty.bootstrap.ChannelInitializerExtension;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -86,9 +89,14 @@
         }
     }
 
-    /** Adds a handler after the codec, which Ratpack replaces for each exchange. */
+    /**
+     * Adds a handler after the codec, which Ratpack replaces for each exchange, and passes bytes to the codec only after
+     * a valid head of the exchange's response.
+     */
     private static final class ClientInstaller extends ChannelInboundHandlerAdapter {
         private HttpClientCodec handledCodec;
+        private boolean headExpected;
+        private ByteBuf held = Unpooled.EMPTY_BUFFER;
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
@@ -99,12 +107,55 @@
                 pipeline.remove(this);
             } else if (codec.handler() != handledCodec) {
                 handledCodec = (HttpClientCodec) codec.handler();
+                headExpected = true;
                 if (pipeline.get(HANDLER_NAME) != null) {
                     pipeline.remove(HANDLER_NAME);
                 }
                 pipeline.addAfter(codec.name(), HANDLER_NAME, new ResponseDecodeErrorHandler());
             }
+            if (headExpected && message instanceof ByteBuf bytes) {
+                receiveHead(context, bytes);
+                return;
+            }
             context.fireChannelRead(message);
         }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) throws Exception {
+            release();
+            super.channelInactive(context);
+        }
+
+        private void receiveHead(ChannelHandlerContext context, ByteBuf bytes) {
+            ByteBuf received = Unpooled.wrappedBuffer(held, bytes);
+            held = Unpooled.EMPTY_BUFFER;
+            int end = AnswerHead.end(received);
+            while (headExpected && end >= 0) {
+                Optional<String> violation = AnswerHead.violation(received, end);
+                if (violation.isPresent()) {
+                    received.release();
+                    context.fireExceptionCaught(new DecoderException("not an HTTP answer: " + violation.get()));
+                    context.close();
+                    return;
+                }
+                headExpected = AnswerHead.isInformational(received);
+                if (headExpected) {
+                    context.fireChannelRead(received.readRetainedSlice(end - received.readerIndex()));
+                    end = AnswerHead.end(received);
+                }
+            }
+            if (headExpected && received.readableBytes() <= AnswerHead.MAX_BYTES) {
+                held = received;
+                return;
+            }
+            // The codec rejects a head that is too long.
+            headExpected = false;
+            context.fireChannelRead(received);
+        }
+
+        private void release() {
+            held.release();
+            held = Unpooled.EMPTY_BUFFER;
+        }
     }
 }
--- a/node/src/test/java/org/plantainshunt/http/BackendConnectionsTest.java
+++ b/node/src/test/java/org/plantainshunt/http/BackendConnectionsTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainshunt.call.BackendServer.FailureStage;
 import org.plantainshunt.protocol.Header;
 
@@ -157,6 +159,83 @@
         assertNotEquals("200 ", nextOutcome());
     }
 
+    /** Guards against answers that the decoder reads in its own way, with another status, field or body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\n",
+                "HTTP/1.1 099 OK\r\n",
+                "HTTP/1.1 600 OK\r\n",
+                "HTTP/1.1 999 OK\r\n",
+                "HTTP/1.1 1000 OK\r\n",
+                "HTTP/1.1 0200 OK\r\n",
+                "HTTP/1.1 +200 OK\r\n",
+                "HTTP/1.1 20 OK\r\n",
+                "HTTP/1.1  200 OK\r\n",
+                "HTTP/2.0 200 OK\r\n",
+                "ICY/1.1 200 OK\r\n",
+                "HTTP/1.1 200 O\u0001K\r\n",
+                "\r\nHTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\n",
+                "HTTP/1.1 200 OK\r\nA b: c\r\n",
+                "HTTP/1.1 200 OK\r\nA : c\r\n",
+                "HTTP/1.1 200 OK\r\nA\u0001: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\u0000b: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\u007f: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\tb: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\rb: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\u00e9: c\r\n",
+                "HTTP/1.1 200 OK\r\n A: c\r\n",
+                "HTTP/1.1 200 OK\r\nB: d\r\n\tA: c\r\n",
+                "HTTP/1.1 200 OK\r\n: c\r\n",
+                "HTTP/1.1 200 OK\r\nA\r\n",
+                "HTTP/1.1 200 OK\r\nA: c\u0000\r\n",
+                "HTTP/1.1 200 OK\r\nA: c\rB: d\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length x: 1\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length\u000b: 1\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
+                "HTTP/1.1 100 Continue\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n"
+            })
+    void answerWithMalformedHeadIsNoAnswer(String beginning) throws Exception {
+        send("1");
+        Socket accepted = accept();
+        readRequest(accepted);
+        write(accepted, beginning + "Id: 1\r\nContent-Length: 3\r\n\r\none");
+        assertEquals(FailureStage.ANSWER_CUT.name(), nextOutcome());
+        assertEquals(-1, accepted.getInputStream().read());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 \r\n",
+                "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n",
+                "HTTP/1.1 200 \u00e9t\u00e9\r\n",
+                "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: \u00e9\t,\r\nEmpty:\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+            })
+    void answerWithUnusualHeadIsRead(String beginning) throws Exception {
+        send("1");
+        Socket accepted = accept();
+        readRequest(accepted);
+        String answer = beginning + "Id: 1\r\nContent-Length: 3\r\n\r\none";
+        for (char character : answer.toCharArray()) {
+            write(accepted, String.valueOf(character));
+        }
+        assertEquals("200 one", nextOutcome());
+    }
+
+    /** Guards against a body that is still encoded when it is passed on without its transfer encoding. */
+    @Test
+    void answerWithUnknownTransferEncodingIsNoAnswer() throws Exception {
+        send("1");
+        Socket accepted = accept();
+        readRequest(accepted);
+        write(accepted, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\na\r\n0\r\n\r\n");
+        assertEquals(FailureStage.ANSWER_CUT.name(), nextOutcome());
+    }
+
     /** Bytes that are only the beginning of a message must not be joined with the next response. */
     @Test
     void connectionIsNotUsedAgainAfterIncompleteSurplusBytes() throws Exception {
--- a/protocol/src/main/java/org/plantainshunt/protocol/FrameConverter.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/FrameConverter.java
@@ -165,7 +165,7 @@
         return fields;
     }
 
-    private static List<Header> headers(List<HeaderField> fields) {
+    static List<Header> headers(List<HeaderField> fields) {
         List<Header> headers = new ArrayList<>(fields.size());
         for (HeaderField field : fields) {
             headers.add(new Header(field.getName(), field.getValue()));
--- a/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/OutgoingCalls.java
@@ -123,6 +123,13 @@
             refuse(call, refusal(start, Refusal.of(ResultCode.ANSWER_TOO_LARGE, detail)));
             return;
         }
+        Optional<String> violation =
+                AnswerRules.violation(start.getStatus(), FrameConverter.headers(start.getHeadersList()));
+        if (violation.isPresent()) {
+            sendCancel(call);
+            refuse(call, refusal(start, Refusal.of(ResultCode.ANSWER_CUT, violation.get())));
+            return;
+        }
         call.answerStarted(start);
     }
 
--- a/protocol/src/test/java/org/plantainshunt/protocol/WholeAnswerTest.java
+++ b/protocol/src/test/java/org/plantainshunt/protocol/WholeAnswerTest.java
@@ -9,6 +9,7 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 import org.plantainshunt.protocol.RecordingHandler.Outcome;
 import org.plantainshunt.protocol.RecordingHandler.ReceivedCall;
 import org.plantainshunt.result.ResultCode;
@@ -50,6 +51,39 @@
         }
     }
 
+    /** Guards against an answer of another node that no caller can read. */
+    @Test
+    void answerThatIsNoneIsRefused() throws Exception {
+        try (FakeNode entry = new FakeNode("vm-entry");
+                FakeNode serving = new FakeNode("vm-serving")) {
+            InnerConnection connection = entry.connectTo(serving);
+            assertEquals(
+                    ResultCode.ANSWER_CUT,
+                    answered(connection, serving, 0, "Name").code());
+            assertEquals(
+                    ResultCode.ANSWER_CUT,
+                    answered(connection, serving, 200, "Na me").code());
+            assertEquals(
+                    200, answered(connection, serving, 200, "Name").answer().status());
+        }
+    }
+
+    private static Outcome answered(InnerConnection connection, FakeNode serving, int status, String headerName)
+            throws InterruptedException {
+        Outcome outcome = new Outcome();
+        connection.call(RecordingHandler.message("/1", new byte[1]), outcome);
+        serving.nextCall()
+                .reply()
+                .answered(new AnswerMessage(
+                        ResultCode.ANSWERED,
+                        status,
+                        List.of(new Header(headerName, "v")),
+                        new byte[3],
+                        0,
+                        RecordingHandler.LOAD));
+        return outcome;
+    }
+
     private static Outcome callAndCancel(InnerConnection connection) {
         Outcome outcome = new Outcome();
         connection
