Order lists by the store's era, and keep what was known while it is written again

Nodes took the copy for the newest state, and ignored later changes whose revisions were lower than those that they had seen.

Change: the era of the header Store-Era is part of a list's number, behind whether the process is settled. An answer of another era ends a watch, and the document is read completely; an answer of an earlier era is a failed read, as is one without a valid number. For 2.2 s after the beginning of an era VmRegistry keeps what it knew of the same start of a server; then the store is believed. Without the header nothing changes. A log line and a gauge show the change.

--- a/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
+++ b/core/src/test/java/org/plantainshunt/membership/VmRegistryTest.java
@@ -51,7 +51,7 @@
         registry.storeReconnected(START + SECOND);
         registry.replace(Map.of("b", at("10.0.0.2", "b", 1)), 14, START + SECOND);
         assertEquals(List.of("a", "b"), instances());
-        registry.put("a", at("10.0.0.1", "a", 1), 15);
+        registry.put("a", at("10.0.0.1", "a", 1), 15, START + SECOND);
         registry.expire(START + 10 * SECOND);
         assertEquals(List.of("a", "b"), instances());
     }
@@ -165,10 +165,91 @@
     void changeSoonAfterTheStartMakesNewerList() {
         registry.replace(Map.of("a", at("10.0.0.1", "a", 1)), 10, START);
         VmList first = registry.list();
-        registry.put("a", at("10.0.0.1", "a", 2), 11);
+        registry.put("a", at("10.0.0.1", "a", 2), 11, START);
         assertTrue(registry.list().compareTo(first) > 0);
     }
 
+    /** Guards against nodes that ignore what the store says after it came back with lower revisions. */
+    @Test
+    void listOfLaterEraIsNewerThanOneOfHigherRevision() {
+        registry.eraKnown(3);
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1)), 1_000, START);
+        VmList before = registry.list();
+        registry.eraBegan(4, START);
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1)), 7, START);
+        assertTrue(registry.list().compareTo(before) > 0);
+    }
+
+    /** Guards against nodes that take the list of a process that knows only the copy for the newest. */
+    @Test
+    void listOfProcessThatKnowsOnlyTheCopyComesBeforeThatOfOneThatKnewMore() {
+        registry.services(Set.of("s"));
+        registry.eraKnown(3);
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1)), 1_000, START);
+        registry.expire(START + VmRegistry.RENEWAL_TIME);
+        VmRegistry restarted = new VmRegistry();
+        restarted.services(Set.of("s"));
+        restarted.eraKnown(4);
+        restarted.replace(Map.of(), 7, START);
+        assertTrue(restarted.list().compareTo(registry.list()) < 0);
+    }
+
+    /** Guards against new work for servers whose leaving the store has lost, and against refusing those that joined. */
+    @Test
+    void whatWasKnownHoldsWhileTheStoreIsWrittenAgain() {
+        registry.replace(
+                Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1), "c", at("10.0.0.3", "c", 1)),
+                10,
+                START);
+        registry.removed("a", 11, START);
+        registry.put("b", leaving(at("10.0.0.2", "b", 1)), 12, START);
+        registry.put("d", at("10.0.0.4", "d", 1), 13, START);
+        registry.expire(START + VmRegistry.RENEWAL_TIME);
+        long drill = START + 10 * SECOND;
+        registry.eraBegan(1, drill);
+        registry.replace(
+                Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1), "c", at("10.0.0.3", "c", 1)),
+                10,
+                drill);
+        assertEquals(List.of("b leaving", "c", "d"), states());
+        registry.put("b", at("10.0.0.2", "b", 1), 11, drill + SECOND);
+        assertEquals(List.of("b leaving", "c", "d"), states());
+        long expiry = drill + VmRegistry.RENEWAL_TIME;
+        assertEquals(expiry, registry.nextExpiry().orElseThrow());
+        VmList before = registry.list();
+        registry.expire(expiry);
+        assertEquals(List.of("a", "b", "c"), states());
+        assertTrue(registry.list().compareTo(before) > 0);
+    }
+
+    @Test
+    void whatIsWrittenAgainIsNotTakenBack() {
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.removed("a", 11, START);
+        registry.put("b", leaving(at("10.0.0.2", "b", 1)), 12, START);
+        registry.put("d", at("10.0.0.4", "d", 1), 13, START);
+        long drill = START + 10 * SECOND;
+        registry.eraBegan(1, drill);
+        registry.replace(Map.of("a", at("10.0.0.1", "a", 1), "b", at("10.0.0.2", "b", 1)), 10, drill);
+        registry.removed("a", 11, drill + SECOND);
+        registry.put("b", leaving(at("10.0.0.2", "b", 1)), 12, drill + SECOND);
+        registry.put("d", at("10.0.0.4", "d", 1), 13, drill + SECOND);
+        registry.expire(drill + VmRegistry.RENEWAL_TIME);
+        assertEquals(List.of("b leaving", "d"), states());
+    }
+
+    /** Guards against refusing a server that started again under its id. */
+    @Test
+    void laterStartOfTheSameServerIsNewInAnyEra() {
+        registry.replace(Map.of("a", leaving(at("10.0.0.1", "a", 1)), "b", at("10.0.0.2", "b", 1)), 10, START);
+        registry.removed("b", 11, START);
+        registry.eraBegan(1, START);
+        registry.replace(Map.of("a", leaving(at("10.0.0.1", "a", 1))), 9, START);
+        registry.put("a", at("10.0.0.1", "a", 2), 10, START);
+        registry.put("b", at("10.0.0.2", "b", 2), 11, START);
+        assertEquals(List.of("a", "b"), states());
+    }
+
     /** Guards against sending to a former backend server whose registration outlives it. */
     @Test
     void serverThatStartedLastAtAnAddressIsListed() {
@@ -182,6 +263,27 @@
                 .toList();
     }
 
+    private List<String> states() {
+        return registry.list().vms().stream()
+                .map(vm -> vm.instance().orElseThrow() + (vm.leaving() ? " leaving" : ""))
+                .toList();
+    }
+
+    private static Registration leaving(Registration registration) {
+        Vm vm = registration.vm();
+        return new Registration(
+                new Vm(
+                        vm.name(),
+                        vm.service(),
+                        vm.dataCentre(),
+                        vm.address(),
+                        vm.innerPort(),
+                        true,
+                        vm.slots(),
+                        vm.instance()),
+                registration.startedAt());
+    }
+
     private static Registration at(String address, String instance, long startedAt) {
         Vm vm = new Vm(address, "s", "d", address, 7000, false, OptionalInt.of(4), Optional.of(instance));
         return new Registration(vm, startedAt);
--- a/node/src/main/java/org/plantainshunt/control/Platform.java
+++ b/node/src/main/java/org/plantainshunt/control/Platform.java
@@ -41,6 +41,11 @@
         return 0;
     }
 
+    /** Returns how often the platform's store was seen to come back from an older copy. */
+    default long storeEras() {
+        return 0;
+    }
+
     @Override
     default void close() {}
 
--- a/node/src/main/java/org/plantainshunt/node/Node.java
+++ b/node/src/main/java/org/plantainshunt/node/Node.java
@@ -353,6 +353,7 @@
         gauge("configuration.number", control::documentNumber);
         gauge("control.reads-store", () -> control.storeAccess().reads() ? 1 : 0);
         gauge("control.ignored-entries", platform::ignoredEntries);
+        gauge("control.store-eras", platform::storeEras);
         gauge("control.followers", () -> control.storeAccess().followers().size());
         gauge("cpu.threads", ThreadTimes::milliseconds);
         gauge("memory.heap-bytes", () -> {
