Close a caller's connection if a response could not be written

Cause: the body's write fails when the direct memory is in use, and the listener ignored it, so the next answer followed the head that had been written.

Change: a failed write closes the connection and cancels the requests behind it.

Test: PipelinedServerTest.connectionIsClosedIfABodyCannotBeWritten failed before.

--- a/node/src/main/java/org/plantainshunt/http/ServerConnection.java
+++ b/node/src/main/java/org/plantainshunt/http/ServerConnection.java
@@ -263,7 +263,7 @@
             boolean last = !request.keepAlive || (server.draining() || finishing) && pending.isEmpty() && head == null;
             write(request, last);
             wrote = true;
-            if (last) {
+            if (last && !closing) {
                 cancelPending();
                 beginClose();
             }
@@ -297,9 +297,24 @@
             unwritten--;
             lastActive = server.now();
             server.requestEnded();
+            if (!ended.isSuccess()) {
+                writeFailed(ended.cause());
+            }
         });
     }
 
+    /** Closes the connection, because a part of the response may be missing, and the next one would take its place. */
+    private void writeFailed(Throwable cause) {
+        if (closing || !context.channel().isActive()) {
+            return;
+        }
+        LOGGER.warn("closing a caller's connection, a response could not be written: {}", cause.toString());
+        closing = true;
+        server.closingStarted();
+        cancelPending();
+        context.close();
+    }
+
     /** Responds after the requests before this one, and then closes the connection. */
     private void refuseAndClose(int status) {
         head = null;
--- a/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
+++ b/node/src/test/java/org/plantainshunt/http/PipelinedServerTest.java
@@ -14,7 +14,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -69,6 +77,44 @@
         }
     }
 
+    /** Guards against a response in the place of the body of the one before it, which could not be written. */
+    @Test
+    void connectionIsClosedIfABodyCannotBeWritten() throws Exception {
+        EmbeddedChannel caller =
+                new EmbeddedChannel(new BodyRejecter(), new HttpServerCodec(), new ServerConnection(server));
+        caller.writeInbound(Unpooled.copiedBuffer(get("/one") + get("/two"), StandardCharsets.US_ASCII));
+        ReceivedRequest one = next();
+        next().response().accept(text("second"));
+        one.response().accept(text("first"));
+        caller.runPendingTasks();
+        assertFalse(caller.isOpen());
+        StringBuilder written = new StringBuilder();
+        for (ByteBuf bytes = caller.readOutbound(); bytes != null; bytes = caller.readOutbound()) {
+            written.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+        }
+        assertFalse(written.toString().contains("second"), written.toString());
+        assertEquals(0, server.openRequests());
+        assertEquals(0, server.closingConnections());
+    }
+
+    /** Fails to write the body of the first response, as if there were no memory for it. */
+    private static final class BodyRejecter extends ChannelOutboundHandlerAdapter {
+        private boolean rejected;
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            if (!rejected
+                    && ((ByteBuf) message).toString(StandardCharsets.US_ASCII).endsWith("first")) {
+                rejected = true;
+                ReferenceCountUtil.release(message);
+                promise.setFailure(new OutOfMemoryError("direct memory"));
+                return;
+            }
+            context.write(message, promise);
+        }
+    }
+
     /** The requests of a caller that disconnects must be cancelled. */
     @Test
     void callerDisconnectCancelsItsRunningRequests() throws Exception {
