Let few nodes read a store that is away for a moment

A node waited 0.2 s for a replacement of its sources, whatever the replacements said.

Change: if a replacement has lost the store too, it is the store that is away, and the node waits as long as without any report (1.5 s).

Test: storeThatIsAwayForASecondIsReadByFewNodes failed before (45 of 49).

--- a/core/src/main/java/org/plantainshunt/membership/StoreReaders.java
+++ b/core/src/main/java/org/plantainshunt/membership/StoreReaders.java
@@ -65,7 +65,11 @@
     private final Map<String, Long> reports = new HashMap<>();
 
     private List<String> ranking = List.of();
-    private OptionalLong allWithdrawnAt = OptionalLong.empty();
+    /** When the last current report was withdrawn, if there was none since. */
+    private OptionalLong withdrawnAt = OptionalLong.empty();
+    /** How long after that the node reads itself, before jitter. */
+    private long readAfterWithdrawal = REPLACEMENT_TIMEOUT;
+
     private int hastyRequests;
     private long reportJitter;
     private long nextRequest;
@@ -139,27 +143,31 @@
     public void reported(String source, Contact contact, long now) {
         unansweredRequests.remove(source);
         if (contact == Contact.LOST) {
-            excludedUntil.put(source, now + LOST_EXCLUSION);
-            withdraw(source, now);
+            boolean isNews = excludedUntil.put(source, now + LOST_EXCLUSION) == null;
+            withdraw(source, isNews, now);
             return;
         }
         excludedUntil.remove(source);
         reports.put(source, now);
-        allWithdrawnAt = OptionalLong.empty();
+        withdrawnAt = OptionalLong.empty();
         hastyRequests = 0;
         reportJitter = random.nextLong(1 + JITTER_PER_NODE * ranking.size());
     }
 
-    private void withdraw(String source, long now) {
+    private void withdraw(String source, boolean isNews, long now) {
         boolean hadReport = hasCurrentReport(now);
         reports.remove(source);
         if (hasCurrentReport(now)) {
             return;
         }
         if (hadReport) {
-            allWithdrawnAt = OptionalLong.of(now);
+            withdrawnAt = OptionalLong.of(now);
+            readAfterWithdrawal = REPLACEMENT_TIMEOUT;
+        } else if (isNews) {
+            // A replacement has lost the store too, so it is the store that is away, and reading soon is of no use.
+            readAfterWithdrawal = REPORT_TIMEOUT;
         }
-        // Limited, because all nodes ask one another while the store is down.
+        // Limited, because all nodes ask one another while the store is away.
         if (hastyRequests < readerCount()) {
             hastyRequests++;
             nextRequest = now;
@@ -189,7 +197,7 @@
 
     private boolean hasReport(long now) {
         return hasCurrentReport(now)
-                || allWithdrawnAt.isPresent() && now - allWithdrawnAt.getAsLong() < REPLACEMENT_TIMEOUT + reportJitter;
+                || withdrawnAt.isPresent() && now - withdrawnAt.getAsLong() < readAfterWithdrawal + reportJitter;
     }
 
     private boolean hasCurrentReport(long now) {
--- a/core/src/test/java/org/plantainshunt/membership/StoreReadersModel.java
+++ b/core/src/test/java/org/plantainshunt/membership/StoreReadersModel.java
@@ -87,6 +87,10 @@
         return longestUninformed / (double) SECOND;
     }
 
+    int newReaders() {
+        return newReadersBySecond.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     int mostNewReadersInOneSecond() {
         return newReadersBySecond.values().stream()
                 .mapToInt(Integer::intValue)
--- a/core/src/test/java/org/plantainshunt/membership/StoreReadersTest.java
+++ b/core/src/test/java/org/plantainshunt/membership/StoreReadersTest.java
@@ -64,6 +64,19 @@
         assertTrue(readers.reads(0));
     }
 
+    /** Guards against all nodes of a region at the store at once when it is away for a moment. */
+    @Test
+    void nodeDoesNotReadSoonIfTheReplacementsHaveLostTheStoreToo() {
+        StoreReaders readers = follower();
+        List<String> sources = readers.sources(0);
+        sources.forEach(source -> readers.reported(source, Contact.CURRENT, 0));
+        sources.forEach(source -> readers.reported(source, Contact.LOST, SECOND));
+        assertFalse(readers.reads(SECOND));
+        readers.reported(readers.nextRequest(SECOND).orElseThrow(), Contact.LOST, SECOND);
+        assertFalse(readers.reads(2 * SECOND));
+        assertTrue(readers.reads(3 * SECOND));
+    }
+
     @Test
     void calmFleetHasFewReaders() {
         for (int size : new int[] {16, 49, 229}) {
@@ -121,6 +134,22 @@
         }
     }
 
+    /** Guards against a herd at a store that is away for a moment, as it is when it comes back from an older copy. */
+    @Test
+    void storeThatIsAwayForASecondIsReadByFewNodes() {
+        for (int size : new int[] {8, 49, 229}) {
+            StoreReadersModel fleet = new StoreReadersModel(size, 1);
+            fleet.run(10);
+            fleet.resetMeasurement();
+            IntStream.range(0, size).forEach(node -> fleet.fail(node, StoreReadersModel.CUT_FROM_STORE));
+            fleet.run(1);
+            fleet.recoverAll();
+            fleet.run(8);
+            int most = Math.max(size, 16) / 2;
+            assertTrue(fleet.newReaders() <= most, fleet.newReaders() + " of " + size + " nodes began to read");
+        }
+    }
+
     /** Guards against a herd: all readers of 1,600 nodes in 7 regions die at once. */
     @Test
     void firstReadsAfterTheLossOfAllReadersStayBelowTheRateOfTheStore() {
