--- a/protocol/src/main/java/org/plantainshunt/protocol/AnswerRules.java
+++ b/protocol/src/main/java/org/plantainshunt/protocol/AnswerRules.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 /**
  * The rules for the status and the header fields of an answer that is passed on, wherever it was read. Stateless.
@@ -10,8 +9,8 @@
 public final class AnswerRules {
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int LAST_STATUS = 599;
-    private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
-    private static final Pattern TEXT = Pattern.compile("[^\\x00-\\x08\\x0a-\\x1f\\x7f]*");
+    private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+    private static final char DELETE = 0x7f;
 
     private AnswerRules() {}
 
@@ -21,13 +20,36 @@
             return Optional.of("the status " + status + " is not that of an answer");
         }
         for (Header header : headers) {
-            if (!TOKEN.matcher(header.name()).matches()) {
+            if (!isToken(header.name())) {
                 return Optional.of("a header field has an invalid name");
             }
-            if (!TEXT.matcher(header.value()).matches()) {
+            if (!isText(header.value())) {
                 return Optional.of("the header field " + header.name() + " has an invalid value");
             }
         }
         return Optional.empty();
     }
+
+    private static boolean isToken(String name) {
+        for (int index = 0; index < name.length(); index++) {
+            char character = name.charAt(index);
+            boolean isLetter = character >= 'a' && character <= 'z' || character >= 'A' && character <= 'Z';
+            boolean isDigit = character >= '0' && character <= '9';
+            if (!isLetter && !isDigit && TOKEN_SYMBOLS.indexOf(character) < 0) {
+                return false;
+            }
+        }
+        return !name.isEmpty();
+    }
+
+    /** Returns whether there are no control characters except tabs. */
+    private static boolean isText(String value) {
+        for (int index = 0; index < value.length(); index++) {
+            char character = value.charAt(index);
+            if (character < ' ' && character != '\t' || character == DELETE) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
