--- a/review/third/Deployment.java
+++ b/review/third/Deployment.java
@@ -256,11 +256,11 @@
 
     /** Ends all processes that were started, and the stand-ins. */
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         endNodes();
         for (Machine machine : machines) {
             if (machine.node != null) {
-                machine.node.waitFor(5, TimeUnit.SECONDS);
+                machine.node.onExit().orTimeout(5, TimeUnit.SECONDS).exceptionally(late -> null).join();
             }
             machine.upstream.close();
         }
