--- a/review/third/Client.java
+++ b/review/third/Client.java
@@ -64,7 +64,7 @@
             }
             boolean right = fields.getOrDefault("request-id", id).equals(id)
                     && (status != 200
-                            || Arrays.equals(content, Http.body(id, (int) Http.parameter(lines(target), "bytes", 2_000))));
+                            || Arrays.equals(content, Http.body(id, (int) Http.parameter(requestLine(target), "bytes", 2_000))));
             if (fields.getOrDefault("connection", "").equalsIgnoreCase("close")) {
                 close();
             }
@@ -77,7 +77,7 @@
         }
     }
 
-    private static String lines(String target) {
+    private static String requestLine(String target) {
         return "GET " + target + " HTTP/1.1";
     }
 
--- a/review/third/SilentConnections.java
+++ b/review/third/SilentConnections.java
@@ -15,22 +15,26 @@
  * configuration adds a route and drops one.
  */
 final class SilentConnections {
+    private static final int COULD_NOT_RUN = 2;
     private static final double STABLE = 3;
     private static final double CONFIG_APPLY = 2.5;
     private static final int CHANGES = 4;
-    /** The requests that each node gets on a new route, two a second. */
+    /** The requests that each node gets on an added route, two a second; as many on a dropped one. */
     private static final int PROBES = 12;
 
     private record Sent(String id, String machine, double at, Client.Answer answer) {}
 
     private SilentConnections() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status;
         try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
                 Deployment deployment = new Deployment(record)) {
             status = play(record, deployment, trouble);
+        } catch (Exception e) {
+            e.printStackTrace();
+            status = COULD_NOT_RUN;
         }
         System.exit(status);
     }
@@ -43,7 +47,7 @@
             }
         }
         if (!deployment.start()) {
-            return 2;
+            return COULD_NOT_RUN;
         }
         Thread.sleep(8_000);
         ConcurrentLinkedQueue<Sent> sent = new ConcurrentLinkedQueue<>();
--- a/review/third/SlowUploads.java
+++ b/review/third/SlowUploads.java
@@ -19,6 +19,7 @@
  * configuration, while others browse.
  */
 final class SlowUploads {
+    private static final int COULD_NOT_RUN = 2;
     private static final int USERS = 30;
     private static final int FEW_USERS = 3;
     private static final int UPLOAD_BYTES = 4 << 20;
@@ -40,12 +41,15 @@
 
     private SlowUploads() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status;
         try (CaseRecord record = new CaseRecord(Path.of(arguments[0]));
                 Deployment deployment = new Deployment(record)) {
             status = play(record, deployment, trouble ? USERS : FEW_USERS);
+        } catch (Exception e) {
+            e.printStackTrace();
+            status = COULD_NOT_RUN;
         }
         System.exit(status);
     }
@@ -58,7 +62,7 @@
             }
         }
         if (!deployment.start()) {
-            return 2;
+            return COULD_NOT_RUN;
         }
         Thread.sleep(6_000);
         Deployment.Machine entry = deployment.machines.get(0);
