--- a/review/third/Deployment.java
+++ b/review/third/Deployment.java
@@ -54,6 +54,9 @@
     final Store store = new Store();
     final Relay relay = new Relay();
     final List<Machine> machines = new CopyOnWriteArrayList<>();
+    /** The slots of the upstreams that are added from now on. */
+    int slots = Upstream.SLOTS;
+
     final int callerPort;
     final int readyPort;
     private final int innerPort;
@@ -116,7 +119,7 @@
         relay.add(machine.ip, machine.innerIp, innerPort);
         store.listen(machine.storeAddress, storePort);
         machine.upstream =
-                new Upstream(record, service + "-" + number, machine.instance, machine.ip, upstreamPort);
+                new Upstream(record, service + "-" + number, machine.instance, machine.ip, upstreamPort, slots);
         machines.add(machine);
         register(machine, "ready");
         return machine;
@@ -126,7 +129,7 @@
         store.put(
                 "servers/" + machine.instance,
                 "{\"service\":\"" + machine.service + "\",\"address\":\"" + machine.ip + ":" + upstreamPort
-                        + "\",\"zone\":\"" + machine.zone + "\",\"version\":\"v1\",\"capacity\":" + Upstream.SLOTS
+                        + "\",\"zone\":\"" + machine.zone + "\",\"version\":\"v1\",\"capacity\":" + slots
                         + ",\"state\":\"" + state + "\",\"warmupLeft\":\"0ms\",\"sequence\":4,\"born\":"
                         + System.currentTimeMillis() + "}");
     }
--- a/review/third/Upstream.java
+++ b/review/third/Upstream.java
@@ -24,17 +24,21 @@
     static final int SLOTS = 64;
     private static final int QUEUE = 72;
 
+    private final int places;
     private final CaseRecord record;
     private final String name;
     private final String instance;
     private final ServerSocket listening;
-    private final Semaphore slots = new Semaphore(SLOTS, true);
+    private final Semaphore slots;
     private final AtomicInteger running = new AtomicInteger();
     private final AtomicInteger waiting = new AtomicInteger();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final List<Socket> open = new ArrayList<>();
 
-    Upstream(CaseRecord record, String name, String instance, String address, int port) throws IOException {
+    Upstream(CaseRecord record, String name, String instance, String address, int port, int places)
+            throws IOException {
+        this.places = places;
+        this.slots = new Semaphore(places, true);
         this.record = record;
         this.name = name;
         this.instance = instance;
@@ -99,7 +103,7 @@
             respond(out, "421 Misdirected Request", id, "Instance-Id: " + instance + "\r\n", new byte[0]);
             return;
         }
-        if (running.get() >= SLOTS && waiting.get() >= QUEUE) {
+        if (running.get() >= places && waiting.get() >= QUEUE) {
             respond(out, "503 Service Unavailable", id, "Not-Executed: 1\r\n", new byte[0]);
             return;
         }
@@ -126,7 +130,7 @@
 
     private void respond(OutputStream out, String status, String id, String extra, byte[] body) throws IOException {
         String head = "HTTP/1.1 " + status + "\r\n" + (id.isEmpty() ? "" : "Request-Id: " + id + "\r\n") + extra
-                + "Instance-Load: " + running.get() + "," + waiting.get() + "," + SLOTS + "\r\nKeep-Alive: timeout=10\r\nContent-Length: " + body.length + "\r\n\r\n";
+                + "Instance-Load: " + running.get() + "," + waiting.get() + "," + places + "\r\nKeep-Alive: timeout=10\r\nContent-Length: " + body.length + "\r\n\r\n";
         byte[] start = head.getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = new byte[start.length + body.length];
         System.arraycopy(start, 0, all, 0, start.length);
